--- /dev/null
+++ b/src/platform/memory_table.cpp
@@ -0,0 +1,74 @@
+// Transactions on a map of rows.
+#include "platform/memory_table.hpp"
+
+namespace wagtailseam::platform
+{
+
+bool memory_table::condition_holds(const row_write& write) const
+{
+    if (!write.expected)
+    {
+        return true;
+    }
+    const auto found = rows_.find(write.at);
+    const row_version current =
+        found == rows_.end() ? absent_row : found->second.version;
+    return current == *write.expected;
+}
+
+transaction_answer memory_table::apply(const transaction& asked)
+{
+    for (std::size_t i = 0; i < asked.writes.size(); ++i)
+    {
+        if (!condition_holds(asked.writes[i]))
+        {
+            return conflicted{i, read(asked.writes[i].at)};
+        }
+    }
+    committed answer;
+    for (const row_write& write : asked.writes)
+    {
+        const row_version version{++last_version_};
+        answer.versions.push_back(version);
+        if (write.value)
+        {
+            rows_.insert_or_assign(
+                write.at, row{write.at, *write.value, version});
+        }
+        else
+        {
+            rows_.erase(write.at);
+        }
+    }
+    return answer;
+}
+
+found_row memory_table::read(const row_key& at) const
+{
+    const auto found = rows_.find(at);
+    return found == rows_.end() ? found_row{} : found_row{found->second};
+}
+
+std::vector<row> memory_table::scan(
+    std::string_view table, std::string_view prefix, std::string_view after,
+    std::size_t limit) const
+{
+    std::vector<row> found;
+    auto next = after.empty()
+                    ? rows_.lower_bound(
+                          row_key{std::string(table), std::string(prefix)})
+                    : rows_.upper_bound(
+                          row_key{std::string(table), std::string(after)});
+    for (; next != rows_.end() && found.size() < limit; ++next)
+    {
+        const row_key& at = next->first;
+        if (at.table != table || !at.key.starts_with(prefix))
+        {
+            break;
+        }
+        found.push_back(next->second);
+    }
+    return found;
+}
+
+} // namespace wagtailseam::platform
--- /dev/null
+++ b/src/telemetry/test/counters_test.cpp
@@ -0,0 +1,43 @@
+// Counters and distributions, and the text that a scrape reads.
+#include "telemetry/counters.hpp"
+
+#include <gtest/gtest.h>
+
+namespace wagtailseam::telemetry
+{
+namespace
+{
+
+class counters_fixture : public testing::Test
+{
+protected:
+    metrics metrics_;
+};
+
+TEST_F(counters_fixture, refusal_counted_twice_appears_by_reason)
+{
+    metrics_.count_refusal(result_code::draining);
+    metrics_.count_refusal(result_code::draining);
+    EXPECT_EQ(metrics_.counter("wagtail_refusals_total", "draining"), 2U);
+    EXPECT_NE(
+        metrics_.prometheus_text().find(
+            "wagtail_refusals_total{reason=\"draining\"} 2"),
+        std::string::npos);
+}
+
+TEST_F(counters_fixture, quantile_of_uniform_samples_is_near_truth)
+{
+    for (int i = 0; i <= 1000; ++i)
+    {
+        metrics_.observe("wagtail_first_token_ms", (i * 7919) % 1001);
+    }
+    EXPECT_NEAR(metrics_.quantile("wagtail_first_token_ms", 0.95), 950, 20);
+}
+
+TEST_F(counters_fixture, quantile_without_samples_is_zero)
+{
+    EXPECT_EQ(metrics_.quantile("wagtail_first_token_ms", 0.5), 0);
+}
+
+} // namespace
+} // namespace wagtailseam::telemetry
