Name the outer duration in the clocks' member types

The member types rep and period were read from duration before the member of the same name was declared; g++ 12 rejects that as a change of meaning as soon as a source includes the header. No source did so far. Qualified names mend it.

--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -12,8 +12,8 @@
 /// Tag of a process's own monotonic time; does not compare across processes.
 struct monotonic_clock
 {
-    using rep = duration::rep;
-    using period = duration::period;
+    using rep = wagtailseam::duration::rep;
+    using period = wagtailseam::duration::period;
     using duration = wagtailseam::duration;
     using time_point = std::chrono::time_point<monotonic_clock>;
     static constexpr bool is_steady = true;
@@ -29,8 +29,8 @@
 /// Tag of calendar time in microseconds since 1970-01-01 UTC.
 struct wall_clock
 {
-    using rep = duration::rep;
-    using period = duration::period;
+    using rep = wagtailseam::duration::rep;
+    using period = wagtailseam::duration::period;
     using duration = wagtailseam::duration;
     using time_point = std::chrono::time_point<wall_clock>;
     static constexpr bool is_steady = false;
