--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -126,6 +126,9 @@
     result_code_row{
         result_code::circuit_open, "circuit_open",
         "The upstream failed repeatedly and is not tried for a while."},
+    result_code_row{
+        result_code::dispatch_expired, "dispatch_expired",
+        "The dispatch arrived after its validity ended and was not begun."},
     result_code_row{
         result_code::outcome_unknown, "outcome_unknown",
         "The request may or may not have run; look the outcome up before any "
--- a/src/core/result_code.hpp
+++ b/src/core/result_code.hpp
@@ -59,6 +59,7 @@
     stale_fencing_number = 408,
     upstream_refused = 409,
     circuit_open = 410,
+    dispatch_expired = 411,
 
     outcome_unknown = 501,
     upstream_lost = 502,
