Count all probes of a half-open episode in the circuit's property

The oracle counted per generation and missed a circuit that gave leave past the bound by starting a new generation; now that mutation fails it.

--- a/src/retry/test/retry_test.cpp
+++ b/src/retry/test/retry_test.cpp
@@ -215,38 +215,37 @@
     circuit tested(options);
     random_source random(3);
     mono_time now = at({});
-    // The oracle: leaves that were given and not reported yet.
-    std::vector<circuit_permit> out;
-    std::uint64_t in_flight_of_half_open = 0;
+    // The oracle: leaves not reported yet, each with the episode it belongs
+    // to; a report that leaves the state open or closed ends an episode.
+    std::vector<std::pair<circuit_permit, int>> out;
+    int episode = 0;
     for (const auto& [kind, detail] : steps)
     {
         now += milliseconds(detail * 10);
         if (kind % 3 == 0 || out.empty())
         {
-            const bool half_open =
+            const bool probe =
                 !std::holds_alternative<circuit_closed>(tested.state());
             const auto leave = tested.acquire(now);
             if (leave)
             {
-                out.push_back(*leave);
-            }
-            if (leave && half_open)
-            {
-                const auto same = std::count_if(
-                    out.begin(), out.end(),
-                    [&](const circuit_permit& other)
-                    { return other.generation == leave->generation; });
-                in_flight_of_half_open = static_cast<std::uint64_t>(same);
-                RC_ASSERT(in_flight_of_half_open <= options.max_probes);
+                out.emplace_back(*leave, probe ? episode : -1);
             }
+            const auto probes = std::count_if(
+                out.begin(), out.end(),
+                [&](const auto& held) { return held.second == episode; });
+            RC_ASSERT(probes <= options.max_probes);
             continue;
         }
-        const circuit_permit leave = out.back();
+        const circuit_permit leave = out.back().first;
         out.pop_back();
-        tested.report(
-            leave,
-            kind % 3 == 1 ? attempt_outcome::failure : attempt_outcome::success,
-            random, now);
+        const auto outcome =
+            kind % 3 == 1 ? attempt_outcome::failure : attempt_outcome::success;
+        tested.report(leave, outcome, random, now);
+        if (!std::holds_alternative<circuit_half_open>(tested.state()))
+        {
+            ++episode;
+        }
     }
 }
 
