--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -298,8 +298,13 @@
 
 void fill(const std::vector<field>& fields, json& value);
 
+/// A default of null stands for "none given" and stays as it is.
 void fill_value(const value_rule& rule, json& value)
 {
+    if (value.is_null())
+    {
+        return;
+    }
     if (const auto* const object = std::get_if<object_rule>(&rule))
     {
         fill(object->fields, value);
