--- /dev/null
+++ b/src/link/observed_rate.cpp
@@ -0,0 +1,61 @@
+// A rate learned from finished work.
+#include "link/observed_rate.hpp"
+
+#include <boost/assert.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace wagtailseam::link
+{
+
+namespace
+{
+
+// The initial value counts as a sample of this length.
+constexpr double initial_weight_seconds = 0.05;
+constexpr double longest_seconds = 86400.0;
+
+} // namespace
+
+observed_rate::observed_rate(const options& settings)
+    : settings_(settings), amount_(settings.initial * initial_weight_seconds),
+      seconds_(initial_weight_seconds)
+{
+    BOOST_ASSERT(settings.initial > 0.0);
+    BOOST_ASSERT(settings.half_life > duration::zero());
+}
+
+void observed_rate::record(double amount, duration elapsed, mono_time now)
+{
+    if (amount <= 0.0 || elapsed <= duration::zero())
+    {
+        return;
+    }
+    const auto age = std::max(duration::zero(), now - updated_);
+    const auto halves =
+        duration_to_seconds(age) / duration_to_seconds(settings_.half_life);
+    const auto fade = std::exp2(-halves);
+    amount_ = amount_ * fade + amount;
+    seconds_ = seconds_ * fade + duration_to_seconds(elapsed);
+    updated_ = std::max(updated_, now);
+}
+
+double observed_rate::value() const noexcept
+{
+    return amount_ / seconds_;
+}
+
+duration seconds_to_duration(double seconds) noexcept
+{
+    const auto bounded = std::clamp(seconds, 0.0, longest_seconds);
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(bounded));
+}
+
+double duration_to_seconds(duration value) noexcept
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace wagtailseam::link
