Choose upstreams by the estimated time to first token

For each candidate the router takes the lowest cost over all numbers of imported pieces, from observed rates, reports discounted by age, and what the entry itself has sent since. Decisions come with the estimates that they were made from.

--- /dev/null
+++ b/src/routing/estimate.cpp
@@ -0,0 +1,128 @@
+// The estimate of the time to first token of one prompt at one upstream.
+#include "routing/estimate.hpp"
+
+#include "link/observed_rate.hpp"
+
+#include <boost/assert.hpp>
+
+#include <algorithm>
+
+namespace wagtailseam::routing
+{
+
+namespace
+{
+
+using link::duration_to_seconds;
+using link::seconds_to_duration;
+
+estimate plan(
+    const prompt_shape& prompt, const compute_view& view, std::size_t imported,
+    duration import_time, const objective& weights)
+{
+    const auto held =
+        (view.cached_pieces + imported) * prompt.piece.tokens.value();
+    BOOST_ASSERT(held <= prompt.tokens.value());
+    const auto computed = prompt.tokens.value() - held;
+    const auto compute_seconds =
+        static_cast<double>(computed) / view.prefill_rate.value();
+    const auto start = std::max(view.queue_wait, import_time);
+    estimate made{
+        .upstream = view.upstream,
+        .queue_wait = view.queue_wait,
+        .import_time = import_time,
+        .compute_time = seconds_to_duration(compute_seconds),
+        .first_token = start + seconds_to_duration(compute_seconds),
+        .cached_pieces = view.cached_pieces,
+        .imported_pieces = imported,
+        .computed_tokens = token_count{computed}};
+    made.cost = weights.first_token * duration_to_seconds(made.first_token) +
+                weights.recomputed_share * compute_seconds;
+    return made;
+}
+
+/// The time until the pieces added so far are imported, tier by tier.
+class import_clock
+{
+public:
+    import_clock(const import_source& source, byte_count piece)
+        : source_(source), piece_bytes_(static_cast<double>(piece.value()))
+    {
+    }
+
+    void add(storage_tier tier)
+    {
+        (tier == storage_tier::memory ? memory_ : disk_) += piece_bytes_;
+    }
+
+    [[nodiscard]] duration elapsed() const
+    {
+        return std::max(
+            time_of(memory_, source_.memory), time_of(disk_, source_.disk));
+    }
+
+private:
+    [[nodiscard]] static duration time_of(double bytes, const link_view& link)
+    {
+        if (bytes <= 0.0)
+        {
+            return duration::zero();
+        }
+        return link.backlog + seconds_to_duration(bytes / link.rate.value());
+    }
+
+    const import_source& source_;
+    double piece_bytes_;
+    double memory_ = 0.0;
+    double disk_ = 0.0;
+};
+
+void weigh_source(
+    const prompt_shape& prompt, const compute_view& view,
+    const import_source& source, const objective& weights, import_rule rule,
+    estimate& best)
+{
+    import_clock clock(source, prompt.piece.bytes);
+    const auto usable = std::min(source.tiers.size(), prompt.pieces);
+    for (std::size_t at = view.cached_pieces; at < usable; ++at)
+    {
+        clock.add(source.tiers[at]);
+        const auto imported = at + 1 - view.cached_pieces;
+        auto next = plan(prompt, view, imported, clock.elapsed(), weights);
+        const bool forced =
+            rule == import_rule::always && imported > best.imported_pieces;
+        const bool cheaper =
+            rule == import_rule::weighed && next.cost < best.cost;
+        if (forced || cheaper)
+        {
+            next.store = source.store;
+            next.without_import = best.without_import;
+            best = std::move(next);
+        }
+    }
+}
+
+} // namespace
+
+estimate best_plan(
+    const prompt_shape& prompt, const compute_view& view,
+    std::span<const import_source> sources, const objective& weights,
+    import_rule rule)
+{
+    BOOST_ASSERT(view.prefill_rate.value() > 0.0);
+    auto bounded = view;
+    bounded.cached_pieces = std::min(view.cached_pieces, prompt.pieces);
+    auto best = plan(prompt, bounded, 0, duration::zero(), weights);
+    best.without_import = best.first_token;
+    if (rule == import_rule::never)
+    {
+        return best;
+    }
+    for (const auto& source : sources)
+    {
+        weigh_source(prompt, bounded, source, weights, rule, best);
+    }
+    return best;
+}
+
+} // namespace wagtailseam::routing
--- /dev/null
+++ b/src/routing/estimate.hpp
@@ -0,0 +1,116 @@
+// The estimate of the time to first token of one prompt at one upstream: the
+// queue, then the best split between importing kept pieces and recomputing.
+#ifndef WAGTAILSEAM_ROUTING_ESTIMATE_HPP
+#define WAGTAILSEAM_ROUTING_ESTIMATE_HPP
+
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace wagtailseam::routing
+{
+
+/// Size of one piece of a prefix.
+struct piece_shape
+{
+    token_count tokens{1024};
+    byte_count bytes{64ULL << 20};
+};
+
+/// What an estimate needs to know of a prompt.
+struct prompt_shape
+{
+    token_count tokens;
+    /// Whole pieces of the prompt; the tokens after them are always computed.
+    std::size_t pieces = 0;
+    piece_shape piece;
+};
+
+/// What an upstream would do with the prompt without any import.
+struct compute_view
+{
+    upstream_id upstream;
+    duration queue_wait{};
+    token_rate prefill_rate{1.0};
+    /// Pieces of this prompt's prefix in the engine's own cache.
+    std::size_t cached_pieces = 0;
+};
+
+/// Where a store keeps a piece.
+enum class storage_tier : std::uint8_t
+{
+    memory,
+    disk,
+};
+
+/// A link as last reported, its backlog being that of the first-token class.
+struct link_view
+{
+    byte_rate rate{1.0};
+    duration backlog{};
+};
+
+/// The pieces of this prompt's prefix that a store keeps, from the first on
+/// without a hole.
+struct import_source
+{
+    upstream_id store;
+    std::vector<storage_tier> tiers;
+    link_view memory;
+    link_view disk;
+};
+
+/// What a workspace weighs; both weigh seconds.
+struct objective
+{
+    double first_token = 1.0;
+    /// Weight of the time that the accelerator spends on the prompt.
+    double recomputed_share = 0.0;
+};
+
+/// Whether imports are weighed, forced or forbidden.
+enum class import_rule : std::uint8_t
+{
+    weighed,
+    always,
+    never,
+};
+
+/// The best plan for one upstream, with what it was built from.
+struct estimate
+{
+    upstream_id upstream;
+    duration queue_wait{};
+    /// From now until the last imported byte.
+    duration import_time{};
+    /// Prefill of what is neither cached nor imported.
+    duration compute_time{};
+    duration first_token{};
+    /// First token if nothing were imported.
+    duration without_import{};
+    std::size_t cached_pieces = 0;
+    std::size_t imported_pieces = 0;
+    /// Set when imported_pieces > 0.
+    std::optional<upstream_id> store;
+    token_count computed_tokens;
+    /// Weighed seconds; the lowest wins.
+    double cost = 0.0;
+};
+
+/// Returns the plan with the lowest cost over all sources and all numbers k
+/// of imported pieces. The import runs while the prompt waits in the queue;
+/// the prefill starts after both. Ties go to fewer pieces.
+/// Complexity: the sum of the sources' pieces.
+[[nodiscard]] estimate best_plan(
+    const prompt_shape& prompt, const compute_view& view,
+    std::span<const import_source> sources, const objective& weights,
+    import_rule rule);
+
+} // namespace wagtailseam::routing
+
+#endif
--- /dev/null
+++ b/src/routing/router.hpp
@@ -0,0 +1,311 @@
+// Chooses the upstream of each prompt and how its prefix gets there. The core
+// asks for probes, waits for their answers or a deadline, and names the plan
+// with the lowest cost together with all estimates it weighed.
+#ifndef WAGTAILSEAM_ROUTING_ROUTER_HPP
+#define WAGTAILSEAM_ROUTING_ROUTER_HPP
+
+#include "core/clock.hpp"
+#include "core/digest.hpp"
+#include "core/ids.hpp"
+#include "core/random_source.hpp"
+#include "core/result_code.hpp"
+#include "routing/estimate.hpp"
+#include "routing/load_view.hpp"
+#include "routing/prefix_index.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace wagtailseam::routing
+{
+
+/// How an upstream is chosen; all but `estimated` are baselines to measure
+/// against.
+enum class choice_rule : std::uint8_t
+{
+    estimated,
+    round_robin,
+    least_load,
+};
+
+/// A prompt to be placed.
+struct prompt
+{
+    request_id id;
+    /// The chain of the prompt's whole pieces under its workspace's root.
+    std::vector<digest> chain;
+    token_count tokens;
+    std::size_t priority = 0;
+    objective weights;
+};
+
+struct upstream_joined
+{
+    upstream_id upstream;
+    cell_id cell;
+};
+
+struct upstream_left
+{
+    upstream_id upstream;
+};
+
+struct store_joined
+{
+    upstream_id store;
+};
+
+struct store_left
+{
+    upstream_id store;
+};
+
+/// A load report, from a probe's answer or from the upstream's cell.
+struct load_reported
+{
+    upstream_id upstream;
+    load_report load;
+    /// Time since the report was made.
+    duration age{};
+};
+
+struct prompt_received
+{
+    prompt wanted;
+};
+
+/// An upstream's answer to probe_upstream.
+struct upstream_answered
+{
+    request_id id;
+    upstream_id upstream;
+    load_report load;
+    duration age{};
+    std::size_t cached_pieces = 0;
+};
+
+/// A store's answer to probe_store.
+struct store_answered
+{
+    request_id id;
+    import_source kept;
+};
+
+/// The time named by wake_at has come for the request.
+struct probe_deadline_passed
+{
+    request_id id;
+};
+
+/// The request's first token came, or the attempt ended without one.
+struct prompt_settled
+{
+    request_id id;
+};
+
+using event = std::variant<
+    upstream_joined, upstream_left, store_joined, store_left, load_reported,
+    prompt_received, upstream_answered, store_answered, probe_deadline_passed,
+    prompt_settled>;
+
+struct probe_upstream
+{
+    request_id id;
+    upstream_id upstream;
+};
+
+struct probe_store
+{
+    request_id id;
+    upstream_id store;
+};
+
+struct wake_at
+{
+    request_id id;
+    mono_time when;
+};
+
+/// Why an upstream was weighed.
+enum class candidate_reason : std::uint8_t
+{
+    home,
+    last_holder,
+    probed,
+    cell_member,
+};
+
+[[nodiscard]] std::string_view name(candidate_reason reason) noexcept;
+
+/// One weighed candidate, for the explanation of a decision.
+struct weighed_candidate
+{
+    estimate plan;
+    candidate_reason reason = candidate_reason::probed;
+    duration report_age{};
+    /// Over this entry's bound of outstanding prompts.
+    bool over_bound = false;
+};
+
+/// What a decision was built from.
+struct explanation
+{
+    request_id id;
+    upstream_id chosen;
+    /// In the order of slots; the chosen one is among them.
+    std::vector<weighed_candidate> candidates;
+    /// Answers that had not come by the deadline.
+    std::size_t missing_answers = 0;
+};
+
+struct dispatch_prompt
+{
+    request_id id;
+    estimate plan;
+    explanation why;
+};
+
+struct refuse_prompt
+{
+    request_id id;
+    result_code code = result_code::no_upstream;
+    /// When the caller may come back.
+    duration retry_after{};
+};
+
+using command = std::variant<
+    probe_upstream, probe_store, wake_at, dispatch_prompt, refuse_prompt>;
+
+/// The decision core of one entry.
+class router
+{
+public:
+    struct options
+    {
+        choice_rule choice = choice_rule::estimated;
+        import_rule imports = import_rule::weighed;
+        piece_shape piece;
+        /// Candidates probed at random besides home and last holder.
+        std::size_t random_probes = 2;
+        /// Stores asked for a prefix, in rendezvous order.
+        std::size_t store_probes = 2;
+        /// The piece, counted from 1, whose digest names the prefix's home;
+        /// pieces before it are often shared by a whole workspace.
+        std::size_t home_piece = 4;
+        duration probe_timeout = std::chrono::milliseconds(20);
+        /// Prompts that wait for answers at once; more are refused.
+        std::size_t pending_limit = 4096;
+        /// A prompt whose best estimate is longer is refused.
+        duration refuse_after = std::chrono::seconds(30);
+        std::size_t index_entries = std::size_t{1} << 18U;
+        load_view::options load;
+    };
+
+    router(const options& settings, random_source random);
+
+    /// Takes an event and returns what to do, in order.
+    /// Complexity: a prompt costs its chain times the stores asked plus the
+    /// upstreams of its home's cell.
+    [[nodiscard]] std::vector<command> handle(
+        const event& incoming, mono_time now);
+
+    /// Returns the bytes of the prefix index.
+    [[nodiscard]] std::size_t index_bytes() const noexcept;
+    [[nodiscard]] std::size_t pending() const noexcept
+    {
+        return pending_.size();
+    }
+
+private:
+    struct upstream_state
+    {
+        upstream_id id;
+        std::uint64_t hash = 0;
+        cell_id cell;
+        bool present = false;
+    };
+    struct candidate
+    {
+        candidate_reason reason = candidate_reason::probed;
+        std::size_t cached_pieces = 0;
+        bool answered = false;
+    };
+    struct pending_prompt
+    {
+        prompt wanted;
+        // Ordered by slot, so that ties fall alike in every run.
+        std::map<upstream_slot, candidate> candidates;
+        std::vector<import_source> kept;
+        std::size_t missing = 0;
+    };
+    struct placed_prompt
+    {
+        upstream_slot slot = 0;
+    };
+
+    void join(const upstream_joined& joined);
+    void leave(const upstream_left& left);
+    void receive(
+        const prompt& wanted, mono_time now, std::vector<command>& out);
+    void answer(
+        const upstream_answered& answered, mono_time now,
+        std::vector<command>& out);
+    void answer(
+        const store_answered& answered, mono_time now,
+        std::vector<command>& out);
+    void settle(const request_id& id);
+    void choose_probes(pending_prompt& waiting);
+    void add_candidate(
+        pending_prompt& waiting, upstream_slot slot, candidate_reason reason);
+    void ask(
+        const pending_prompt& waiting, mono_time now,
+        std::vector<command>& out);
+    void decide(const request_id& id, mono_time now, std::vector<command>& out);
+    [[nodiscard]] explanation weigh(
+        const pending_prompt& waiting, mono_time now) const;
+    [[nodiscard]] weighed_candidate weigh_one(
+        const pending_prompt& waiting, upstream_slot slot,
+        const candidate& held, mono_time now) const;
+    [[nodiscard]] std::optional<std::size_t> best_of(
+        const explanation& why) const;
+    void place(
+        const prompt& wanted, estimate plan, explanation why, mono_time now,
+        std::vector<command>& out);
+    void place_baseline(
+        const prompt& wanted, mono_time now, std::vector<command>& out);
+    [[nodiscard]] std::optional<upstream_slot> next_in_turn();
+    [[nodiscard]] std::optional<upstream_slot> least_loaded(
+        std::size_t priority, mono_time now) const;
+    [[nodiscard]] std::optional<upstream_slot> home_of(
+        const prompt& wanted) const;
+    [[nodiscard]] std::optional<upstream_slot> slot_of(
+        const upstream_id& id) const;
+    [[nodiscard]] prompt_shape shape_of(const prompt& wanted) const;
+
+    options settings_;
+    random_source random_;
+    // A slot is used again once its upstream has left; at most 65,535.
+    std::vector<upstream_state> upstreams_;
+    std::map<upstream_id, upstream_slot> slots_;
+    std::vector<upstream_slot> present_; // sorted
+    std::set<upstream_id> stores_;
+    load_view load_;
+    prefix_index index_;
+    // At most pending_limit.
+    std::map<request_id, pending_prompt> pending_;
+    // One for each prompt under way, until it is settled or its upstream
+    // leaves.
+    std::unordered_map<request_id, placed_prompt> placed_;
+    std::size_t turn_ = 0;
+};
+
+} // namespace wagtailseam::routing
+
+#endif
