--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -10,3 +10,7 @@
 wagtail_slice(questionnaire DEPENDS wagtail_configuration wagtail_membership)
 wagtail_slice(link DEPENDS wagtail_core)
 wagtail_slice(routing DEPENDS wagtail_link)
+wagtail_slice(model DEPENDS wagtail_routing)
+wagtail_program(wagtail-load SOURCES programs/wagtail_load.cpp
+    DEPENDS wagtail_model absl::flags absl::flags_parse absl::flags_usage
+        Threads::Threads)
