--- /dev/null
+++ b/src/attempt/attempt_core.cpp
@@ -0,0 +1,296 @@
+// The life cycle of one attempt.
+#include "attempt/attempt_core.hpp"
+
+#include "core/overloaded.hpp"
+
+#include <boost/assert.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace wagtailseam::attempt
+{
+
+attempt_core::attempt_core(attempt_options options)
+    : options_(std::move(options)), frames_(options_.id, options_.target.life)
+{
+}
+
+std::vector<attempt_command> attempt_core::handle(
+    const attempt_event& event, mono_time now)
+{
+    if (!over())
+    {
+        std::visit([this, now](const auto& known) { on(known, now); }, event);
+    }
+    return std::exchange(commands_, {});
+}
+
+bool attempt_core::over() const noexcept
+{
+    return state_ == attempt_state::finished ||
+           state_ == attempt_state::not_run || state_ == attempt_state::unknown;
+}
+
+bool attempt_core::running() const noexcept
+{
+    return state_ == attempt_state::begun || state_ == attempt_state::streaming;
+}
+
+void attempt_core::on(const start&, mono_time now)
+{
+    if (now >= options_.deadline)
+    {
+        end(not_run{result_code::deadline_unreachable});
+        return;
+    }
+    commands_.emplace_back(send_dispatch{});
+    arm(options_.deadline);
+}
+
+void attempt_core::on(const connect_failed&, mono_time now)
+{
+    if (state_ == attempt_state::planned)
+    {
+        end(not_run{result_code::upstream_unreachable});
+        return;
+    }
+    on(connection_lost{}, now);
+}
+
+void attempt_core::on(const dispatch_written&, mono_time now)
+{
+    if (state_ == attempt_state::planned)
+    {
+        state_ = attempt_state::sent;
+        arm(std::min(now + options_.accept_bound, options_.deadline));
+    }
+}
+
+void attempt_core::on(const dispatch_accepted&, mono_time)
+{
+    if (state_ == attempt_state::planned || state_ == attempt_state::sent)
+    {
+        state_ = attempt_state::begun;
+    }
+    judge_until_.reset();
+    arm(options_.deadline);
+}
+
+void attempt_core::on(const dispatch_refused& event, mono_time)
+{
+    if (running())
+    {
+        // Crossed with an earlier acceptance, which stands.
+        return;
+    }
+    if (is_not_run(event.code))
+    {
+        end(not_run{event.code});
+    }
+    else
+    {
+        end(unknown{event.code});
+    }
+}
+
+void attempt_core::on(const frame& event, mono_time)
+{
+    if (!frames_.accept(event))
+    {
+        return;
+    }
+    state_ = attempt_state::streaming;
+    judge_until_.reset();
+    body_ += event.payload;
+    commands_.emplace_back(deliver{event.payload});
+    arm(options_.deadline);
+}
+
+void attempt_core::on(const end_frame& event, mono_time now)
+{
+    const auto checked = frames_.finish(event);
+    if (checked)
+    {
+        end(finished{run_outcome{event.status, std::move(body_)}});
+        return;
+    }
+    const result_code code = checked.error().code;
+    if (code == result_code::frame_count_mismatch)
+    {
+        on(connection_lost{}, now);
+    }
+    else if (code != result_code::frame_of_other_attempt)
+    {
+        end(unknown{code});
+    }
+}
+
+void attempt_core::on(const connection_lost&, mono_time now)
+{
+    if (state_ == attempt_state::planned)
+    {
+        end(not_run{result_code::upstream_unreachable});
+    }
+    else if (running())
+    {
+        resume(now);
+    }
+    else
+    {
+        judge(now);
+    }
+}
+
+void attempt_core::on(const run_failed&, mono_time)
+{
+    end(unknown{result_code::upstream_lost});
+}
+
+void attempt_core::on(const resume_refused&, mono_time)
+{
+    end(unknown{result_code::upstream_lost});
+}
+
+void attempt_core::judge(mono_time now)
+{
+    if (!judge_until_)
+    {
+        judge_until_ = now + options_.judge_bound;
+    }
+    if (now >= *judge_until_)
+    {
+        end(unknown{result_code::outcome_unknown});
+        return;
+    }
+    commands_.emplace_back(send_tombstone{});
+    arm(std::min(now + options_.retry_interval, *judge_until_));
+}
+
+void attempt_core::resume(mono_time now)
+{
+    if (!judge_until_)
+    {
+        judge_until_ = now + options_.judge_bound;
+    }
+    if (now >= *judge_until_)
+    {
+        end(unknown{result_code::upstream_lost});
+        return;
+    }
+    commands_.emplace_back(resume_stream{frames_.next_number()});
+    arm(std::min(
+        {now + options_.retry_interval, *judge_until_, options_.deadline}));
+}
+
+void attempt_core::on(const tombstone_replied& event, mono_time now)
+{
+    const auto began = [this, now]
+    {
+        if (state_ == attempt_state::sent)
+        {
+            state_ = attempt_state::begun;
+            resume(now);
+        }
+    };
+    std::visit(
+        overloaded{
+            [this](const never_begun&)
+            {
+                if (state_ == attempt_state::sent)
+                {
+                    end(not_run{result_code::tombstoned});
+                }
+            },
+            [&began](const still_running&) { began(); },
+            [this, &began](const has_finished& ended)
+            {
+                if (ended.outcome && !options_.idempotent)
+                {
+                    end(finished{*ended.outcome});
+                    return;
+                }
+                began();
+            },
+            [this](const cannot_tell& reply) { end(unknown{reply.reason}); }},
+        event.answer);
+}
+
+void attempt_core::on(const timer_due&, mono_time now)
+{
+    if (now >= options_.deadline)
+    {
+        pass_deadline(now);
+    }
+    else if (state_ == attempt_state::sent)
+    {
+        judge(now);
+    }
+    else if (running() && judge_until_)
+    {
+        resume(now);
+    }
+}
+
+void attempt_core::pass_deadline(mono_time now)
+{
+    if (state_ == attempt_state::planned)
+    {
+        end(not_run{result_code::deadline_unreachable});
+    }
+    else if (state_ == attempt_state::sent && !options_.idempotent)
+    {
+        // Worth asking: "not run" lets the caller file again.
+        judge(now);
+    }
+    else
+    {
+        if (options_.idempotent)
+        {
+            commands_.emplace_back(cancel_run{});
+        }
+        end(unknown{result_code::deadline_passed});
+    }
+}
+
+void attempt_core::on(const caller_left&, mono_time)
+{
+    if (!options_.idempotent)
+    {
+        // The outcome has to be recorded for the caller's next call.
+        return;
+    }
+    if (state_ == attempt_state::planned)
+    {
+        end(not_run{result_code::cancelled_before_dispatch});
+        return;
+    }
+    commands_.emplace_back(cancel_run{});
+    end(unknown{result_code::caller_gone});
+}
+
+void attempt_core::arm(mono_time at)
+{
+    commands_.emplace_back(set_timer{at});
+}
+
+void attempt_core::end(judgement verdict)
+{
+    state_ = std::visit(
+        overloaded{
+            [](const finished&) { return attempt_state::finished; },
+            [](const not_run& refusal)
+            {
+                BOOST_ASSERT(is_not_run(refusal.code));
+                return attempt_state::not_run;
+            },
+            [](const unknown& lost)
+            {
+                BOOST_ASSERT(!is_not_run(lost.code));
+                return attempt_state::unknown;
+            }},
+        verdict);
+    commands_.emplace_back(conclude{std::move(verdict)});
+}
+
+} // namespace wagtailseam::attempt
--- /dev/null
+++ b/src/attempt/frame_assembler.cpp
@@ -0,0 +1,61 @@
+// Order, identity and completeness of the frames of one attempt.
+#include "attempt/frame_assembler.hpp"
+
+#include <utility>
+
+namespace wagtailseam::attempt
+{
+
+frame_assembler::frame_assembler(attempt_id attempt, incarnation life)
+    : attempt_(std::move(attempt)), life_(life)
+{
+}
+
+bool frame_assembler::mine(
+    const attempt_id& attempt, incarnation life) const noexcept
+{
+    return attempt == attempt_ && life == life_;
+}
+
+result<void> frame_assembler::accept(const frame& received)
+{
+    if (!mine(received.attempt, received.life))
+    {
+        ++dropped_.of_other_attempt;
+        return fail(result_code::frame_of_other_attempt);
+    }
+    if (complete_)
+    {
+        ++dropped_.after_end;
+        return fail(result_code::frame_out_of_order, "after the end");
+    }
+    if (received.number != next_)
+    {
+        ++(received.number < next_ ? dropped_.duplicate : dropped_.ahead);
+        return fail(result_code::frame_out_of_order);
+    }
+    digest_.update(received.payload);
+    ++next_;
+    return boost::outcome_v2::success();
+}
+
+result<void> frame_assembler::finish(const end_frame& end)
+{
+    if (!mine(end.attempt, end.life))
+    {
+        ++dropped_.of_other_attempt;
+        return fail(result_code::frame_of_other_attempt);
+    }
+    if (end.count != next_)
+    {
+        return fail(result_code::frame_count_mismatch);
+    }
+    if (!equal_constant_time(end.answer_digest, digest_.value()))
+    {
+        return fail(result_code::frame_digest_mismatch);
+    }
+    complete_ = true;
+    return boost::outcome_v2::success();
+}
+
+} // namespace wagtailseam::attempt
