--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -23,3 +23,8 @@
     WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
 set_tests_properties(filing_histories PROPERTIES
     ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=100000" TIMEOUT 600)
+wagtail_slice(admission DEPENDS wagtail_core)
+wagtail_program(admission_benchmark
+    SOURCES benchmarks/admission_benchmark.cpp DEPENDS wagtail_admission)
+wagtail_program(retry_benchmark
+    SOURCES benchmarks/retry_benchmark.cpp DEPENDS wagtail_retry)
