Serve the whole path: entries, sidecars, stand-ins, demonstration

One streamed prompt goes from a caller over an entry and a sidecar to a model engine and back as numbered frames that end with count and digest; service calls that are idempotent go the same way. Control messages are signed protobuf over nng, streams are HTTP by Beast, where flow control and cancellation come with the connection. The cores of the attempt slice decide; the shells only carry out their commands.

Found on the way: g++ 12 destroys an aggregate temporary in the operand of co_await twice (free(): invalid pointer in an entry that refused a request), so the error type is not an aggregate. Each slice now declares itself in src/<slice>/slice.cmake, which keeps parallel changes apart.

--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -12,6 +12,12 @@
     target_link_libraries(wagtail_${name}
         PUBLIC ${arg_DEPENDS} Boost::boost PRIVATE wagtail_warnings)
     wagtail_sanitize(wagtail_${name})
+    foreach(generated IN LISTS sources)
+        if(generated MATCHES "/generated/")
+            set_source_files_properties(${generated} PROPERTIES COMPILE_OPTIONS
+                "-w")
+        endif()
+    endforeach()
     file(GLOB tests CONFIGURE_DEPENDS ${dir}/test/*_test.cpp)
     if(tests)
         wagtail_test(test_${name} SOURCES ${tests} DEPENDS wagtail_${name})
--- a/cmake/warnings.cmake
+++ b/cmake/warnings.cmake
@@ -5,7 +5,9 @@
     -Wold-style-cast -Wnon-virtual-dtor -Woverloaded-virtual -Wcast-align
     -Wcast-qual -Wduplicated-cond -Wduplicated-branches -Wlogical-op
     -Wnull-dereference -Wuseless-cast -Wformat=2 -Wextra-semi
-    -Wredundant-decls -Wundef -Wswitch-enum -Wunused
+    -Wredundant-decls -Wundef -Wunused
     # g++ 12 reports these inside inlined Boost and standard headers.
     -Wno-maybe-uninitialized -Wno-null-dereference -Wno-restrict
-    -Wno-missing-field-initializers)
+    -Wno-missing-field-initializers
+    # Asio allocates coroutine frames itself, which g++ 12 does not see.
+    -Wno-mismatched-new-delete)
--- /dev/null
+++ b/programs/programs.cmake
@@ -0,0 +1,7 @@
+wagtail_program(wagtail-entry
+    SOURCES programs/wagtail_entry.cpp DEPENDS wagtail_entry)
+wagtail_program(wagtail-sidecar
+    SOURCES programs/wagtail_sidecar.cpp DEPENDS wagtail_sidecar)
+wagtail_program(wagtail-load SOURCES programs/wagtail_load.cpp
+    DEPENDS wagtail_model absl::flags absl::flags_parse absl::flags_usage
+        Threads::Threads)
--- /dev/null
+++ b/scripts/cluster.py
@@ -0,0 +1,322 @@
+"""Raises a small deployment on loopback: stand-ins, sidecars and entries as
+real processes. Used by the demonstration, the integration tests and the
+measurements."""
+
+import http.client
+import json
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BIN = pathlib.Path(
+    os.environ.get("WAGTAIL_BIN", ROOT / "build" / "release" / "bin"))
+KEY = "demonstration-process-key-1"
+MODEL = "entitlement-reader"
+SERVICE = "coupon-ledger"
+START_TIMEOUT_S = 30
+
+
+def sha256_hex(text):
+    import hashlib
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def answer_text(prompt_messages, tokens, first=0):
+    """The answer that the engine stand-in gives to a prompt."""
+    prompt = "".join(
+        f"{m['role']}\n{m['content']}\n" for m in prompt_messages)
+    seed = sha256_hex(prompt)
+    return "".join(
+        sha256_hex(f"{seed}:{i}")[:5] + " " for i in range(first, tokens))
+
+
+def free_ports(count):
+    """Returns runs of two free ports, a data port and the control port."""
+    ports, held = [], []
+    while len(ports) < count:
+        first = socket.socket()
+        first.bind(("127.0.0.1", 0))
+        port = first.getsockname()[1]
+        second = socket.socket()
+        try:
+            second.bind(("127.0.0.1", port + 1))
+        except (OSError, OverflowError):
+            first.close()
+            second.close()
+            continue
+        held += [first, second]
+        ports.append(port)
+    for each in held:
+        each.close()
+    return ports
+
+
+class Process:
+    """One process that this object started and ends by its id."""
+
+    def __init__(self, name, command, folder):
+        self.name = name
+        self.command = [str(part) for part in command]
+        self.log = open(pathlib.Path(folder) / f"{name}.log", "ab")
+        self.start()
+
+    def start(self):
+        self.child = subprocess.Popen(
+            self.command, stdout=self.log, stderr=self.log, cwd=ROOT)
+
+    def running(self):
+        return self.child.poll() is None
+
+    def kill(self):
+        if self.running():
+            self.child.kill()
+        self.child.wait()
+
+    def stop(self, timeout_s=30):
+        """Ends it by SIGTERM; returns its exit code."""
+        if self.running():
+            self.child.terminate()
+        try:
+            return self.child.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.child.kill()
+            return self.child.wait()
+
+    def pause(self):
+        self.child.send_signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.child.send_signal(signal.SIGCONT)
+
+
+def call(address, method, path, body=None, headers=None, timeout_s=30):
+    """Sends a request; returns status, headers and text."""
+    host, port = address.rsplit(":", 1)
+    link = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+    try:
+        if isinstance(body, (dict, list)):
+            body = json.dumps(body)
+        link.request(method, path, body, headers or {})
+        answer = link.getresponse()
+        return answer.status, dict(answer.getheaders()), \
+            answer.read().decode("utf-8", "replace")
+    finally:
+        link.close()
+
+
+def wait_until(condition, what, timeout_s=START_TIMEOUT_S):
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise TimeoutError(what)
+
+
+class Cluster:
+    """A deployment of engines, services, sidecars and entries."""
+
+    def __init__(self, engines=1, services=1, entries=1, engine_flags=(),
+                 service_flags=(), workspaces=("ward-1", "ward-2"),
+                 sidecar_address=None):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="wagtail-"))
+        self.processes = {}
+        self.workspaces = list(workspaces)
+        self.upstreams = []
+        self.entry_addresses, self.admin_addresses = [], []
+        # Where entries reach a sidecar; a fault proxy may stand between.
+        self.sidecar_address = sidecar_address or (lambda name, real: real)
+        (self.folder / "process.key").write_text(KEY + "\n")
+        self._start_platform()
+        for i in range(engines):
+            self._start_upstream(f"engine-{i + 1}", "engine", engine_flags)
+        for i in range(services):
+            self._start_upstream(f"ledger-{i + 1}", "service", service_flags)
+        self._write_configuration()
+        for i in range(entries):
+            self._start_entry(f"entry-{i + 1}")
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    @staticmethod
+    def key_of(workspace):
+        return f"key-of-{workspace}"
+
+    def _run(self, name, *command):
+        self.processes[name] = Process(name, command, self.folder)
+
+    def _settings(self, name, values):
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(values, indent=2))
+        return path
+
+    def _start_platform(self):
+        [port] = free_ports(1)
+        self.platform = f"127.0.0.1:{port}"
+        self._run("platform", BIN / "platform_stand_in",
+                  f"--listen={self.platform}")
+
+    def _start_upstream(self, name, kind, flags):
+        data, upstream, admin = free_ports(3)
+        spec = {"id": name, "kind": kind, "data": f"127.0.0.1:{data}",
+                "upstream": f"127.0.0.1:{upstream}",
+                "admin": f"127.0.0.1:{admin}", "flags": list(flags)}
+        self.upstreams.append(spec)
+        self._run(name, BIN / f"{kind}_stand_in",
+                  f"--listen={spec['upstream']}", *flags)
+        path = self._settings(f"sidecar-{name}", {
+            "upstream": name, "role": kind, "vm": f"vm-{name}",
+            "data_centre": "ayyanthole", "listen": spec["data"],
+            "admin_listen": spec["admin"],
+            "upstream_address": spec["upstream"], "platform": self.platform,
+            "process_key_file": str(self.folder / "process.key")})
+        self._run(f"sidecar-{name}", BIN / "wagtail-sidecar",
+                  f"--settings={path}")
+
+    def configuration(self):
+        return {
+            "format": 1, "deployment": "demonstration",
+            "data_centres": ["ayyanthole"],
+            "workspaces": [{
+                "id": w, "caller_keys": [sha256_hex(self.key_of(w))],
+                "share": 1 / len(self.workspaces),
+                "objective": {"first_token": 0.8, "recomputed_share": 0.2},
+                "models": [MODEL], "services": [SERVICE],
+            } for w in self.workspaces],
+            "models": [{"id": MODEL, "version": 1,
+                        "cache_piece_tokens": 1024, "adapters": []}],
+            "services": [{"id": SERVICE, "requests": [
+                {"name": "balance", "idempotent": True},
+                {"name": "issue", "idempotent": False}]}],
+            "upstreams": [{
+                "id": u["id"], "kind": u["kind"], "data_centre": "ayyanthole",
+                "sidecar": self.sidecar_address(u["id"], u["data"]),
+                "checks_fencing": False,
+                "models": [MODEL] if u["kind"] == "engine" else [],
+                "service": SERVICE if u["kind"] == "service" else "",
+                "cell": 0} for u in self.upstreams],
+            "process_keys": {"sign_with": "process-1",
+                             "accept": ["process-1"]},
+            "spread": {"poll_interval_ms": 1000},
+            "membership": {"heartbeat_interval_ms": 250,
+                           "silent_heartbeats": 4, "cells": 1},
+            "lease": {"length_ms": 10000, "renew_interval_ms": 3000,
+                      "margin_ms": 2000}}
+
+    def _write_configuration(self):
+        self.configuration_file = self._settings(
+            "configuration", self.configuration())
+
+    def _start_entry(self, name):
+        caller, admin, control = free_ports(3)
+        self.entry_addresses.append(f"127.0.0.1:{caller}")
+        self.admin_addresses.append(f"127.0.0.1:{admin}")
+        path = self._settings(name, {
+            "entry": name, "vm": f"vm-{name}", "data_centre": "ayyanthole",
+            "caller_listen": f"127.0.0.1:{caller}",
+            "admin_listen": f"127.0.0.1:{admin}",
+            "control_listen": f"127.0.0.1:{control}",
+            "platform": self.platform,
+            "process_key_file": str(self.folder / "process.key"),
+            "configuration_file": str(self.configuration_file)})
+        self._run(name, BIN / "wagtail-entry", f"--settings={path}")
+
+    def wait_ready(self):
+        """Waits until every entry has heard of every upstream."""
+        for address in self.admin_addresses:
+            wait_until(lambda: self._sees_all(address), f"{address} ready")
+
+    def _sees_all(self, address):
+        try:
+            status, _, text = call(address, "GET", "/status")
+        except OSError:
+            return False
+        seen = json.loads(text)["upstreams"] if status == 200 else []
+        return len(seen) == len(self.upstreams) and \
+            all(u["heard"] and u["ready"] for u in seen)
+
+    def chat(self, entry, workspace, messages, max_tokens=16, headers=None,
+             stream=True, timeout_s=30):
+        """Sends a chat completion; returns a dictionary of what came."""
+        host, port = self.entry_addresses[entry].rsplit(":", 1)
+        link = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+        body = json.dumps({"model": MODEL, "stream": stream,
+                           "max_tokens": max_tokens, "messages": messages})
+        began = time.monotonic()
+        try:
+            link.request("POST", "/v1/chat/completions", body, {
+                "Authorization": f"Bearer {self.key_of(workspace)}",
+                **(headers or {})})
+            answer = link.getresponse()
+            if answer.status != 200 or not stream:
+                return {"status": answer.status, "text": "", "done": False,
+                        "error": json.loads(answer.read() or b"{}"),
+                        "headers": dict(answer.getheaders())}
+            return read_events(answer, began)
+        finally:
+            link.close()
+
+    def call_service(self, entry, workspace, operation, body, key=None,
+                     headers=None, timeout_s=30):
+        extra = {"Idempotency-Key": key} if key else {}
+        return call(
+            self.entry_addresses[entry], "POST",
+            f"/v1/services/{SERVICE}/{operation}", body,
+            {"Authorization": f"Bearer {self.key_of(workspace)}", **extra,
+             **(headers or {})}, timeout_s)
+
+    def metric(self, admin_address, name):
+        """Adds up the values of a metric over its labels."""
+        _, _, text = call(admin_address, "GET", "/metrics")
+        return sum(float(line.rsplit(" ", 1)[1])
+                   for line in text.splitlines()
+                   if line.split("{")[0].split(" ")[0] == name)
+
+    def close(self):
+        for process in self.processes.values():
+            if process.running():
+                process.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def read_events(answer, began):
+    """Reads server-sent events to their end."""
+    got = {"status": 200, "text": "", "done": False, "error": None,
+           "first_token_ms": None, "usage": None, "events": 0,
+           "request": answer.getheader("X-Request-Id")}
+    error = False
+    try:
+        for raw in answer:
+            line = raw.decode("utf-8", "replace").rstrip("\n")
+            if line == "event: error":
+                error = True
+            elif line == "data: [DONE]":
+                got["done"] = True
+            elif line.startswith("data: "):
+                take_event(got, json.loads(line[6:]), error, began)
+    except (http.client.IncompleteRead, ConnectionError):
+        got["broken"] = True
+    return got
+
+
+def take_event(got, event, error, began):
+    if error:
+        got["error"] = event["error"]
+        return
+    got["usage"] = event.get("usage", got["usage"])
+    content = event["choices"][0]["delta"].get("content")
+    if content:
+        if got["first_token_ms"] is None:
+            got["first_token_ms"] = (time.monotonic() - began) * 1000
+        got["text"] += content
+        got["events"] += 1
--- /dev/null
+++ b/src/admission/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(admission DEPENDS wagtail_core)
--- /dev/null
+++ b/src/attempt/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(attempt DEPENDS wagtail_core)
--- /dev/null
+++ b/src/caller_http/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(caller_http DEPENDS wagtail_core wagtail_http)
--- /dev/null
+++ b/src/configuration/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(configuration DEPENDS wagtail_settings wagtail_platform)
--- a/src/core/result.hpp
+++ b/src/core/result.hpp
@@ -17,6 +17,14 @@
 /// Why an operation failed.
 struct error
 {
+    error() = default;
+    // Not an aggregate: g++ 12 destroys aggregate temporaries in the operand
+    // of co_await twice.
+    explicit error(result_code why, std::string text = {})
+        : code(why), detail(std::move(text))
+    {
+    }
+
     result_code code = result_code::ok;
     /// A sentence for the reader; never holds prompts, answers or keys.
     std::string detail;
--- /dev/null
+++ b/src/core/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(core DEPENDS OpenSSL::Crypto)
--- /dev/null
+++ b/src/entry/peers.hpp
@@ -0,0 +1,54 @@
+// What the slices of an entry share: keys, clients, metrics.
+#ifndef WAGTAILSEAM_ENTRY_PEERS_HPP
+#define WAGTAILSEAM_ENTRY_PEERS_HPP
+
+#include "core/random_source.hpp"
+#include "entry/explain_ring.hpp"
+#include "entry/settings.hpp"
+#include "entry/upstream_directory.hpp"
+#include "http/client.hpp"
+#include "identity/process_keys.hpp"
+#include "peer/peer.hpp"
+#include "platform/client.hpp"
+#include "telemetry/counters.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <random>
+
+namespace wagtailseam::entry
+{
+
+namespace asio = boost::asio;
+
+/// Owned by the entry's app; outlives every request.
+struct peers
+{
+    peers(
+        asio::io_context& run_on, entry_settings wanted,
+        identity::process_keys accepted);
+
+    asio::io_context& context;
+    entry_settings settings;
+    identity::process_keys keys;
+    telemetry::metrics metrics;
+    peer::traffic traffic;
+    http::client client;
+    peer::control_client control;
+    platform::client platform;
+    upstream_directory upstreams;
+    explain_ring explained;
+    random_source random;
+    /// The configuration in force; null until there is one.
+    std::shared_ptr<const configuration::configuration> config;
+    config_number config_in_force;
+    bool draining = false;
+
+    /// Adds a decision for /explain and the log.
+    void explain(const request_id& request, std::string text);
+};
+
+} // namespace wagtailseam::entry
+
+#endif
--- /dev/null
+++ b/src/entry/request_run.cpp
@@ -0,0 +1,181 @@
+// Commands of a request's core.
+#include "entry/request_run.hpp"
+
+#include "core/overloaded.hpp"
+#include "entry/chooser.hpp"
+#include "telemetry/event_log.hpp"
+
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace wagtailseam::entry
+{
+namespace
+{
+
+constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
+
+std::string describe(const attempt::judgement& verdict)
+{
+    return std::visit(
+        overloaded{
+            [](const attempt::finished&) { return std::string("finished"); },
+            [](const attempt::not_run& refusal)
+            { return "not_run reason=" + std::string(name(refusal.code)); },
+            [](const attempt::unknown& lost)
+            { return "unknown reason=" + std::string(name(lost.code)); }},
+        verdict);
+}
+
+result_code code_of(const attempt::judgement& verdict)
+{
+    return std::visit(
+        overloaded{
+            [](const attempt::finished&) { return result_code::ok; },
+            [](const auto& other) { return other.code; }},
+        verdict);
+}
+
+} // namespace
+
+request_run::request_run(peers& shared, request_plan plan)
+    : shared_(shared), plan_(std::move(plan)),
+      core_({.id = plan_.id, .deadline = plan_.deadline}, shared.random)
+{
+}
+
+void request_run::feed(const attempt::request_event& event)
+{
+    for (auto& command : core_.handle(event, monotonic_clock::now()))
+    {
+        queue_.push_back(std::move(command));
+    }
+}
+
+asio::awaitable<request_result> request_run::run()
+{
+    feed(attempt::request_begun{});
+    while (!ended_ && !queue_.empty())
+    {
+        auto command = std::move(queue_.front());
+        queue_.pop_front();
+        co_await obey(std::move(command));
+    }
+    outcome_.attempts = core_.attempts();
+    co_return outcome_;
+}
+
+void request_run::caller_left()
+{
+    caller_left_ = true;
+    if (current_)
+    {
+        current_->caller_left();
+    }
+}
+
+asio::awaitable<void> request_run::obey(attempt::request_command command)
+{
+    return std::visit(
+        [this](auto& known) { return obey_one(std::move(known)); }, command);
+}
+
+asio::awaitable<void> request_run::obey_one(attempt::plan_attempt command)
+{
+    if (caller_left_)
+    {
+        feed(attempt::planning_failed{result_code::cancelled_before_dispatch});
+        co_return;
+    }
+    const auto now = monotonic_clock::now();
+    auto candidates =
+        shared_.upstreams.candidates(plan_.need, command.avoid, now);
+    if (candidates.empty())
+    {
+        // One that failed before is better than none.
+        candidates = shared_.upstreams.candidates(plan_.need, {}, now);
+    }
+    const auto* const chosen = choose_least_loaded(candidates, shared_.random);
+    if (chosen == nullptr)
+    {
+        feed(attempt::planning_failed{result_code::no_upstream});
+        co_return;
+    }
+    shared_.explain(
+        plan_.id,
+        "event=plan attempt=" + std::to_string(command.attempt.number.value()) +
+            " upstream=" + chosen->settings.id.value() +
+            " candidates=" + std::to_string(candidates.size()));
+    feed(attempt::attempt_planned{upstream_directory::target_of(*chosen)});
+}
+
+asio::awaitable<void> request_run::obey_one(attempt::run_attempt command)
+{
+    const auto* const view = shared_.upstreams.find(command.target.upstream);
+    if (view == nullptr)
+    {
+        feed(
+            attempt::attempt_ended{attempt::not_run{result_code::no_upstream}});
+        co_return;
+    }
+    attempt::attempt_options options{
+        .id = command.attempt,
+        .target = command.target,
+        .deadline = plan_.deadline};
+    messages::dispatch asked =
+        plan_.make_dispatch(*view, command.delivered, outcome_.tokens);
+    const auto deliver = [this](std::string payload) -> asio::awaitable<void>
+    {
+        feed(attempt::part_received{std::move(payload)});
+        // pass_on is the only command that a part gives.
+        while (!queue_.empty())
+        {
+            auto next = std::move(queue_.front());
+            queue_.pop_front();
+            co_await obey(std::move(next));
+        }
+    };
+    current_ = std::make_shared<attempt_run>(
+        shared_, std::move(options), std::move(asked), deliver);
+    const attempt::judgement verdict = co_await current_->run();
+    outcome_.last = current_->last();
+    outcome_.tokens += current_->tokens();
+    outcome_.upstream = command.target.upstream;
+    current_.reset();
+    const result_code code = code_of(verdict);
+    if (code != result_code::ok)
+    {
+        shared_.metrics.count_retry(code);
+    }
+    shared_.explain(plan_.id, "event=attempt_ended " + describe(verdict));
+    telemetry::event("attempt_ended")
+        .with("request", plan_.id)
+        .with("attempt", command.attempt.number)
+        .with("upstream", command.target.upstream)
+        .with("reason", code);
+    feed(attempt::attempt_ended{verdict});
+}
+
+asio::awaitable<void> request_run::obey_one(attempt::pass_on command)
+{
+    co_await plan_.sink(std::move(command.payload));
+}
+
+asio::awaitable<void> request_run::obey_one(attempt::wait_until command)
+{
+    asio::steady_timer timer(shared_.context);
+    timer.expires_after(command.at - monotonic_clock::now());
+    co_await timer.async_wait(completion);
+    feed(attempt::backoff_over{});
+}
+
+asio::awaitable<void> request_run::obey_one(attempt::end_request command)
+{
+    outcome_.code = command.code;
+    outcome_.status = command.status;
+    ended_ = true;
+    co_return;
+}
+
+} // namespace wagtailseam::entry
--- /dev/null
+++ b/src/entry/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(entry DEPENDS wagtail_attempt wagtail_caller_http wagtail_configuration wagtail_peer wagtail_platform wagtail_runtime wagtail_telemetry)
--- /dev/null
+++ b/src/http/server.hpp
@@ -0,0 +1,104 @@
+// An HTTP/1.1 server on Boost.Beast; each request is handled by a coroutine.
+#ifndef WAGTAILSEAM_HTTP_SERVER_HPP
+#define WAGTAILSEAM_HTTP_SERVER_HPP
+
+#include "core/clock.hpp"
+#include "core/result.hpp"
+#include "http/message.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace wagtailseam::http
+{
+
+namespace asio = boost::asio;
+
+/// One request on a connection and the way to answer it. Lives until the
+/// handler's coroutine ends.
+class exchange
+{
+public:
+    struct connection;
+
+    exchange(connection& link, request asked);
+    ~exchange();
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+
+    [[nodiscard]] const request& asked() const noexcept { return asked_; }
+
+    /// Sends a whole answer. @errors caller_gone
+    asio::awaitable<result<void>> send(response answer);
+
+    /// Sends the head of an answer whose body follows in parts.
+    asio::awaitable<result<void>> begin_stream(response head);
+    /// Sends a part of the body; returns when the socket has taken it, so a
+    /// slow reader slows the sender. @errors caller_gone
+    asio::awaitable<result<void>> write(std::string_view part);
+    /// Ends the body.
+    asio::awaitable<result<void>> end_stream();
+
+    /// Calls back once when the caller closes its side before the answer
+    /// ends. Not called after the handler has ended.
+    void on_caller_gone(std::function<void()> callback);
+
+    [[nodiscard]] bool answered() const noexcept { return answered_; }
+    [[nodiscard]] bool keep_alive() const noexcept;
+
+private:
+    connection& link_;
+    request asked_;
+    bool answered_ = false;
+    std::shared_ptr<std::function<void()>> gone_callback_;
+};
+
+using handler = std::function<asio::awaitable<void>(exchange&)>;
+
+struct server_options
+{
+    /// Where to listen, "host:port"; port 0 takes a free one.
+    address listen;
+    std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
+    std::size_t max_header_bytes = std::size_t{16} * 1024;
+    std::size_t max_connections = 20'000;
+    /// An idle connection is closed after this time.
+    duration idle_timeout = std::chrono::seconds(75);
+    /// A write that does not progress for this time breaks the connection.
+    duration write_timeout = std::chrono::seconds(30);
+};
+
+/// Listens and serves until stopped. Not thread-safe: one io_context.
+class server
+{
+public:
+    /// @throws boost::system::system_error when it cannot listen.
+    server(
+        const asio::any_io_executor& executor, const server_options& options,
+        handler serve);
+    ~server();
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+
+    /// Accepts no more connections and closes idle ones; exchanges in
+    /// progress go on, and their connections close after the answer.
+    void stop_accepting();
+
+    /// Returns the number of exchanges in progress.
+    [[nodiscard]] std::size_t active() const noexcept;
+    /// Returns the port it listens on.
+    [[nodiscard]] std::uint16_t port() const noexcept;
+
+    struct state;
+
+private:
+    std::shared_ptr<state> state_;
+};
+
+} // namespace wagtailseam::http
+
+#endif
--- /dev/null
+++ b/src/http/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(http DEPENDS wagtail_core Threads::Threads spdlog::spdlog)
--- /dev/null
+++ b/src/identity/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(identity DEPENDS wagtail_core)
--- /dev/null
+++ b/src/kept_cache/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(kept_cache DEPENDS wagtail_core)
--- /dev/null
+++ b/src/link/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(link DEPENDS wagtail_core)
--- /dev/null
+++ b/src/membership/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(membership DEPENDS wagtail_core)
--- /dev/null
+++ b/src/messages/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(messages DEPENDS wagtail_core protobuf::libprotobuf-lite)
--- /dev/null
+++ b/src/messages/wagtail.hpp
@@ -0,0 +1,17 @@
+// The generated messages, with the warnings of this project turned off.
+#ifndef WAGTAILSEAM_MESSAGES_WAGTAIL_HPP
+#define WAGTAILSEAM_MESSAGES_WAGTAIL_HPP
+
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wpedantic"
+#pragma GCC diagnostic ignored "-Wconversion"
+#pragma GCC diagnostic ignored "-Wsign-conversion"
+#pragma GCC diagnostic ignored "-Wold-style-cast"
+#pragma GCC diagnostic ignored "-Wshadow"
+#pragma GCC diagnostic ignored "-Wuseless-cast"
+#pragma GCC diagnostic ignored "-Wextra-semi"
+#pragma GCC diagnostic ignored "-Wunused-parameter"
+#include "messages/generated/wagtail.pb.h"
+#pragma GCC diagnostic pop
+
+#endif
--- a/src/model/profile.cpp
+++ b/src/model/profile.cpp
@@ -100,7 +100,7 @@
     {
         if (fault_.code == result_code::ok)
         {
-            fault_ = {code, path_ + key};
+            fault_ = error{code, path_ + key};
         }
     }
 
--- /dev/null
+++ b/src/model/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(model DEPENDS wagtail_routing)
--- /dev/null
+++ b/src/platform/client.hpp
@@ -0,0 +1,75 @@
+// Client of the platform's table service, object store and VM list.
+#ifndef WAGTAILSEAM_PLATFORM_CLIENT_HPP
+#define WAGTAILSEAM_PLATFORM_CLIENT_HPP
+
+#include "http/client.hpp"
+#include "platform/table.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace wagtailseam::platform
+{
+
+namespace asio = boost::asio;
+
+/// Calls made to the platform by one process.
+struct call_counts
+{
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t failures = 0;
+};
+
+/// A row of the platform's lagging list of VMs.
+struct vm_entry
+{
+    std::string vm;
+    bool leaving = false;
+};
+
+struct client_options
+{
+    http::address platform;
+    duration timeout = std::chrono::milliseconds(400);
+};
+
+/// Speaks the platform's HTTP protocol (docs/PLATFORM.md).
+class client
+{
+public:
+    client(const asio::any_io_executor& executor, client_options options);
+
+    /// Applies a transaction; answer_lost when it may have taken effect.
+    asio::awaitable<transaction_answer> apply(transaction asked);
+    /// Reads one row.
+    asio::awaitable<read_answer> read(row_key at);
+    /// Reads up to limit rows whose keys begin with prefix, after a key.
+    asio::awaitable<scan_answer> scan(
+        std::string table, std::string prefix, std::string after,
+        std::size_t limit);
+    /// Stores an object. @errors platform_unavailable: it may be stored.
+    asio::awaitable<result<void>> put_object(
+        std::string name, std::string bytes);
+    /// Reads an object. @errors platform_not_found, platform_unavailable
+    asio::awaitable<result<std::string>> read_object(std::string name);
+    /// Reads the list of VMs. @errors platform_unavailable
+    asio::awaitable<result<std::vector<vm_entry>>> list_vms();
+
+    [[nodiscard]] const call_counts& calls() const noexcept { return calls_; }
+
+private:
+    asio::awaitable<result<http::response>> post(
+        std::string target, std::string body);
+
+    http::client http_;
+    client_options options_;
+    call_counts calls_;
+};
+
+} // namespace wagtailseam::platform
+
+#endif
--- /dev/null
+++ b/src/platform/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(platform DEPENDS wagtail_core wagtail_http)
--- /dev/null
+++ b/src/questionnaire/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(questionnaire DEPENDS wagtail_configuration wagtail_membership)
--- /dev/null
+++ b/src/retry/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(retry DEPENDS wagtail_core)
--- /dev/null
+++ b/src/routing/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(routing DEPENDS wagtail_link)
--- /dev/null
+++ b/src/settings/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(settings DEPENDS wagtail_core)
--- /dev/null
+++ b/src/sidecar/control.cpp
@@ -0,0 +1,185 @@
+// Control messages and the admin port of a sidecar.
+#include "core/overloaded.hpp"
+#include "sidecar/app.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace wagtailseam::sidecar
+{
+namespace
+{
+
+using kind = messages::control_request::KindCase;
+
+void fill(messages::tombstone_reply& reply, attempt::tombstone_answer answer)
+{
+    std::visit(
+        overloaded{
+            [&reply](const attempt::never_begun&)
+            { reply.set_state(messages::tombstone_reply::never_begun); },
+            [&reply](const attempt::still_running&)
+            { reply.set_state(messages::tombstone_reply::still_running); },
+            [&reply](const attempt::has_finished& ended)
+            {
+                reply.set_state(messages::tombstone_reply::has_finished);
+                if (ended.outcome)
+                {
+                    reply.set_has_outcome(true);
+                    reply.set_status(ended.outcome->status);
+                    reply.set_body(ended.outcome->body);
+                }
+            },
+            [&reply](const attempt::cannot_tell& unsure)
+            {
+                reply.set_state(messages::tombstone_reply::cannot_tell);
+                reply.set_reason(static_cast<std::uint32_t>(unsure.reason));
+            }},
+        answer);
+}
+
+} // namespace
+
+asio::awaitable<messages::control_reply> app::answer_control(
+    messages::control_request asked)
+{
+    messages::control_reply reply;
+    const config_number theirs{asked.config_number()};
+    if (theirs > gate_.config())
+    {
+        (void)gate_.handle(attempt::config_learned{theirs}, now());
+    }
+    reply.set_config_number(gate_.config().value());
+    switch (asked.kind_case())
+    {
+    case kind::kProbe:
+        *reply.mutable_probe() = answer_probe();
+        break;
+    case kind::kTombstone:
+        *reply.mutable_tombstone() = answer_tombstone(asked.tombstone());
+        break;
+    case kind::kCancel:
+        *reply.mutable_cancel() = answer_cancel(asked.cancel());
+        break;
+    default:
+        reply.set_code(
+            static_cast<std::uint32_t>(result_code::malformed_message));
+        break;
+    }
+    co_return reply;
+}
+
+messages::probe_reply app::answer_probe() const
+{
+    const upstream_report& report = monitor_.report();
+    messages::probe_reply reply;
+    reply.set_clock_us(now().time_since_epoch().count());
+    messages::upstream_load& load = *reply.add_loads();
+    load.set_upstream(settings_.upstream.value());
+    load.set_incarnation(gate_.life().value());
+    load.set_role(std::string(name(settings_.role)));
+    load.set_draining(gate_.draining());
+    load.set_upstream_ready(report.ready);
+    load.set_running(static_cast<std::uint32_t>(gate_.running()));
+    load.set_queued(report.queued);
+    load.set_queued_tokens(report.queued_tokens.value());
+    load.set_prefill_rate(report.prefill_rate.value());
+    load.set_model(report.model.value());
+    load.set_weight_version(report.version.value());
+    const duration age = monotonic_clock::now() - report.at;
+    load.set_age_us(static_cast<std::uint64_t>(age.count()));
+    return reply;
+}
+
+messages::tombstone_reply app::answer_tombstone(
+    const messages::tombstone_request& asked)
+{
+    const attempt::tombstone_arrived arrived{
+        .attempt =
+            {request_id{asked.request()}, attempt_number{asked.attempt()}},
+        .life = incarnation{asked.incarnation()},
+        .valid_until = attempt::sidecar_time(duration(asked.valid_until_us()))};
+    const auto decided = gate_.handle(arrived, now());
+    messages::tombstone_reply reply;
+    if (const auto* const answer =
+            std::get_if<attempt::answer_tombstone>(&decided))
+    {
+        fill(reply, answer->answer);
+    }
+    return reply;
+}
+
+messages::cancel_reply app::answer_cancel(const messages::cancel_request& asked)
+{
+    messages::cancel_reply reply;
+    const bool mine = incarnation{asked.incarnation()} == gate_.life();
+    const auto record = mine ? find(
+                                   {request_id{asked.request()},
+                                    attempt_number{asked.attempt()}})
+                             : nullptr;
+    if (record && !record->ended() && record->idempotent())
+    {
+        record->cancel();
+        reply.set_was_running(true);
+        metrics_.count("wagtail_attempts_cancelled_total");
+    }
+    return reply;
+}
+
+std::string app::status_json() const
+{
+    const upstream_report& report = monitor_.report();
+    const nlohmann::json status{
+        {"upstream", settings_.upstream.value()},
+        {"role", name(settings_.role)},
+        {"incarnation", gate_.life().value()},
+        {"config_number", gate_.config().value()},
+        {"draining", gate_.draining()},
+        {"upstream_ready", report.ready},
+        {"running", gate_.running()},
+        {"kept_streams", records_.size()},
+        {"weight_version", report.version.value()},
+        {"control_bytes_sent", traffic_.bytes_sent},
+        {"control_bytes_received", traffic_.bytes_received}};
+    return status.dump();
+}
+
+asio::awaitable<void> app::serve_admin(http::exchange& exchange)
+{
+    constexpr unsigned unavailable = 503;
+    constexpr unsigned not_found = 404;
+    const auto path = exchange.asked().path();
+    http::response answer;
+    answer.content_type = "text/plain";
+    if (path == "/healthz")
+    {
+        answer.body = "ok\n";
+    }
+    else if (path == "/readyz")
+    {
+        const bool ready = monitor_.report().ready && !gate_.draining();
+        answer.status = ready ? 200 : unavailable;
+        answer.body = ready ? "ready\n" : "not ready\n";
+    }
+    else if (path == "/metrics")
+    {
+        metrics_.set(
+            "wagtail_control_bytes_sent",
+            static_cast<double>(traffic_.bytes_sent));
+        metrics_.set(
+            "wagtail_control_bytes_received",
+            static_cast<double>(traffic_.bytes_received));
+        answer.body = metrics_.prometheus_text();
+    }
+    else if (path == "/status")
+    {
+        answer.content_type = "application/json";
+        answer.body = status_json();
+    }
+    else
+    {
+        answer.status = not_found;
+    }
+    co_await exchange.send(std::move(answer));
+}
+
+} // namespace wagtailseam::sidecar
--- /dev/null
+++ b/src/sidecar/settings.cpp
@@ -0,0 +1,76 @@
+// Schema of the sidecar's settings file.
+#include "sidecar/settings.hpp"
+
+namespace wagtailseam::sidecar
+{
+namespace
+{
+
+using settings::text_format;
+using settings::text_rule;
+
+const text_rule identifier{.format = text_format::identifier};
+const text_rule address{.format = text_format::address};
+
+settings::schema make_schema()
+{
+    return {
+        {{.name = "upstream",
+          .rule = identifier,
+          .description = "Id of the upstream, as in the questionnaire."},
+         {.name = "role",
+          .rule = text_rule{.one_of = {"engine", "service", "store"}},
+          .description = "What the upstream is."},
+         {.name = "vm",
+          .rule = identifier,
+          .description = "Id of the VM, as in the platform's list."},
+         {.name = "data_centre",
+          .rule = identifier,
+          .description = "Where the VM is."},
+         {.name = "listen",
+          .rule = address,
+          .description = "Where entries send dispatches; the next port takes "
+                         "control messages."},
+         {.name = "admin_listen",
+          .rule = address,
+          .description = "Where operators read health and metrics."},
+         {.name = "upstream_address",
+          .rule = address,
+          .description = "Where the upstream listens."},
+         {.name = "platform",
+          .rule = address,
+          .description = "Where the platform's service listens."},
+         {.name = "process_key_file",
+          .rule = text_rule{},
+          .description = "File with one or two process keys."},
+         {.name = "log_level",
+          .rule = text_rule{.one_of = {"debug", "info", "warn", "error"}},
+          .fallback = "info",
+          .description = "Least important lines that are logged."}}};
+}
+
+} // namespace
+
+const settings::schema& sidecar_schema()
+{
+    static const settings::schema made = make_schema();
+    return made;
+}
+
+sidecar_settings read_settings(const nlohmann::json& value)
+{
+    const auto text = [&value](const char* field)
+    { return value[field].get<std::string>(); };
+    return sidecar_settings{
+        .upstream = upstream_id{text("upstream")},
+        .role = configuration::upstream_kind_of(text("role")),
+        .vm = vm_id{text("vm")},
+        .data_centre = data_centre_id{text("data_centre")},
+        .listen = http::address{text("listen")},
+        .admin_listen = http::address{text("admin_listen")},
+        .upstream_address = http::address{text("upstream_address")},
+        .platform = http::address{text("platform")},
+        .process_key_file = text("process_key_file")};
+}
+
+} // namespace wagtailseam::sidecar
--- /dev/null
+++ b/src/sidecar/settings.hpp
@@ -0,0 +1,37 @@
+// Settings of wagtail-sidecar.
+#ifndef WAGTAILSEAM_SIDECAR_SETTINGS_HPP
+#define WAGTAILSEAM_SIDECAR_SETTINGS_HPP
+
+#include "configuration/configuration.hpp"
+#include "core/ids.hpp"
+#include "http/message.hpp"
+#include "settings/schema.hpp"
+
+#include <string>
+
+namespace wagtailseam::sidecar
+{
+
+struct sidecar_settings
+{
+    upstream_id upstream;
+    configuration::upstream_kind role = configuration::upstream_kind::engine;
+    vm_id vm;
+    data_centre_id data_centre;
+    /// HTTP for dispatches; the port above it takes control messages.
+    http::address listen;
+    http::address admin_listen;
+    http::address upstream_address;
+    http::address platform;
+    std::string process_key_file;
+};
+
+/// Returns the schema of the settings file.
+[[nodiscard]] const settings::schema& sidecar_schema();
+
+/// Reads checked settings. @pre the value follows sidecar_schema()
+[[nodiscard]] sidecar_settings read_settings(const nlohmann::json& value);
+
+} // namespace wagtailseam::sidecar
+
+#endif
--- /dev/null
+++ b/src/sidecar/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(sidecar DEPENDS wagtail_attempt wagtail_configuration wagtail_peer wagtail_platform wagtail_runtime wagtail_telemetry)
--- /dev/null
+++ b/src/telemetry/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(telemetry DEPENDS wagtail_core spdlog::spdlog fmt::fmt)
--- /dev/null
+++ b/stand_ins/platform.cpp
@@ -0,0 +1,225 @@
+// Stand-in of the platform: transactional table, object store, list of VMs,
+// with outages, slowness and lost answers on request.
+#include "control_flags.hpp"
+#include "core/random_source.hpp"
+#include "platform/json_codec.hpp"
+#include "platform/memory_table.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <map>
+
+ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the faults.");
+
+namespace
+{
+
+using namespace wagtailseam;
+using nlohmann::json;
+
+constexpr std::string_view object_root = "/v1/objects/";
+
+/// Faults in force; each a probability within [0, 1] or a time.
+struct fault_settings
+{
+    /// Refuses everything with 503.
+    bool down = false;
+    /// Applies a write and then closes the connection unanswered.
+    double lose_answer = 0;
+    double refuse = 0;
+    std::chrono::milliseconds delay{0};
+};
+
+class platform_stand_in
+{
+public:
+    platform_stand_in(boost::asio::io_context& context, std::uint64_t seed)
+        : context_(context), random_(seed)
+    {
+    }
+
+    asio::awaitable<void> serve(http::exchange& exchange)
+    {
+        const auto path = exchange.asked().path();
+        if (path == "/control/faults")
+        {
+            set_faults(json::parse(exchange.asked().body, nullptr, false));
+            co_await stand_ins::send_json(exchange, "{}");
+        }
+        else if (path == "/control/vms")
+        {
+            vms_ = exchange.asked().body;
+            co_await stand_ins::send_json(exchange, "{}");
+        }
+        else if (path == "/control/counts")
+        {
+            const json counts{{"reads", reads_}, {"writes", writes_}};
+            co_await stand_ins::send_json(exchange, counts.dump());
+        }
+        else
+        {
+            co_await serve_platform(exchange);
+        }
+    }
+
+private:
+    void set_faults(const json& wanted)
+    {
+        if (!wanted.is_object())
+        {
+            return;
+        }
+        faults_.down = wanted.value("down", false);
+        faults_.lose_answer = wanted.value("lose_answer", 0.0);
+        faults_.refuse = wanted.value("refuse", 0.0);
+        faults_.delay = std::chrono::milliseconds(wanted.value("delay_ms", 0));
+    }
+
+    asio::awaitable<void> serve_platform(http::exchange& exchange)
+    {
+        if (faults_.delay.count() > 0)
+        {
+            asio::steady_timer timer(context_, faults_.delay);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        if (faults_.down || random_.unit() < faults_.refuse)
+        {
+            constexpr unsigned unavailable = 503;
+            co_await stand_ins::send_json(exchange, "{}", unavailable);
+            co_return;
+        }
+        const auto path = exchange.asked().path();
+        if (path == "/v1/table/transaction")
+        {
+            co_await serve_transaction(exchange);
+        }
+        else if (path == "/v1/table/read" || path == "/v1/table/scan")
+        {
+            ++reads_;
+            co_await stand_ins::send_json(
+                exchange, path == "/v1/table/read" ? read(exchange.asked())
+                                                   : scan(exchange.asked()));
+        }
+        else if (path == "/v1/vms")
+        {
+            ++reads_;
+            co_await stand_ins::send_json(exchange, vms_);
+        }
+        else if (path.starts_with(object_root))
+        {
+            co_await serve_object(exchange);
+        }
+        else
+        {
+            constexpr unsigned not_found = 404;
+            co_await stand_ins::send_json(exchange, "{}", not_found);
+        }
+    }
+
+    asio::awaitable<void> serve_transaction(http::exchange& exchange)
+    {
+        constexpr unsigned bad_request = 400;
+        constexpr unsigned conflict = 409;
+        ++writes_;
+        auto asked = platform::transaction_from_json(
+            json::parse(exchange.asked().body, nullptr, false));
+        if (!asked)
+        {
+            co_await stand_ins::send_json(exchange, "{}", bad_request);
+            co_return;
+        }
+        const auto answer = table_.apply(asked.value());
+        if (random_.unit() < faults_.lose_answer)
+        {
+            // Ends the connection without an answer.
+            throw std::runtime_error("answer lost on purpose");
+        }
+        if (const auto* const done = std::get_if<platform::committed>(&answer))
+        {
+            co_await stand_ins::send_json(
+                exchange, platform::to_json(*done).dump());
+            co_return;
+        }
+        co_await stand_ins::send_json(
+            exchange,
+            platform::to_json(std::get<platform::conflicted>(answer)).dump(),
+            conflict);
+    }
+
+    std::string read(const http::request& asked) const
+    {
+        const json at = json::parse(asked.body, nullptr, false);
+        const auto found = table_.read(
+            {platform::text_field(at, "table"),
+             platform::text_field(at, "key")});
+        json answer{{"row", nullptr}};
+        if (found)
+        {
+            answer["row"] = platform::to_json(*found);
+        }
+        return answer.dump();
+    }
+
+    std::string scan(const http::request& asked) const
+    {
+        const json at = json::parse(asked.body, nullptr, false);
+        const std::size_t limit =
+            at.is_object() ? at.value("limit", std::size_t{1000}) : 0;
+        json rows = json::array();
+        for (const auto& each : table_.scan(
+                 platform::text_field(at, "table"),
+                 platform::text_field(at, "prefix"),
+                 platform::text_field(at, "after"), limit))
+        {
+            rows.push_back(platform::to_json(each));
+        }
+        return json{{"rows", std::move(rows)}}.dump();
+    }
+
+    asio::awaitable<void> serve_object(http::exchange& exchange)
+    {
+        constexpr unsigned not_found = 404;
+        const std::string name(
+            exchange.asked().path().substr(object_root.size()));
+        if (exchange.asked().method == "PUT")
+        {
+            ++writes_;
+            objects_.insert_or_assign(name, exchange.asked().body);
+            co_await stand_ins::send_json(exchange, "{}");
+            co_return;
+        }
+        ++reads_;
+        const auto found = objects_.find(name);
+        if (found == objects_.end())
+        {
+            co_await stand_ins::send_json(exchange, "{}", not_found);
+            co_return;
+        }
+        co_await stand_ins::send_json(exchange, found->second);
+    }
+
+    boost::asio::io_context& context_;
+    random_source random_;
+    fault_settings faults_;
+    platform::memory_table table_;
+    std::map<std::string, std::string> objects_;
+    std::string vms_ = R"({"vms":[]})";
+    std::uint64_t reads_ = 0;
+    std::uint64_t writes_ = 0;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    absl::ParseCommandLine(argc, argv);
+    boost::asio::io_context context(1);
+    platform_stand_in platform(context, absl::GetFlag(FLAGS_seed));
+    return stand_ins::serve(
+        context, "platform_stand_in",
+        [&platform](http::exchange& exchange)
+        { return platform.serve(exchange); });
+}
