--- /dev/null
+++ b/src/lease/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(lease DEPENDS wagtail_platform)
