--- a/src/configuration/acceptance_core.cpp
+++ b/src/configuration/acceptance_core.cpp
@@ -96,10 +96,10 @@
     }
     else if (request_.base != config_number{})
     {
-        return gave_up{
-            {result_code::config_not_found,
-             "no configuration is accepted, yet number " +
-                 std::to_string(request_.base.value()) + " was read"}};
+        return gave_up{error{
+            result_code::config_not_found,
+            "no configuration is accepted, yet number " +
+                std::to_string(request_.base.value()) + " was read"}};
     }
     step_ = step::storing_object;
     return command_of_step();
@@ -155,12 +155,13 @@
     }
     if (answer_lost_)
     {
-        return gave_up{
-            {result_code::platform_answer_lost,
-             "the configuration may be accepted; look for nonce " +
-                 request_.nonce + " in the history"}};
+        return gave_up{error{
+            result_code::platform_answer_lost,
+            "the configuration may be accepted; look for nonce " +
+                request_.nonce + " in the history"}};
     }
-    return gave_up{{result_code::platform_unavailable, "nothing was accepted"}};
+    return gave_up{
+        error{result_code::platform_unavailable, "nothing was accepted"}};
 }
 
 acceptance acceptance_core::row() const
