--- a/src/core/result.hpp
+++ b/src/core/result.hpp
@@ -20,7 +20,8 @@
     error() = default;
     // Not an aggregate: g++ 12 destroys aggregate temporaries in the operand
     // of co_await twice.
-    explicit error(result_code why, std::string text = {})
+    explicit error(result_code why) : code(why) {}
+    error(result_code why, std::string text)
         : code(why), detail(std::move(text))
     {
     }
