--- /dev/null
+++ b/src/weights/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(weights DEPENDS wagtail_core wagtail_platform)
