Send the stand-in's table answers from a named string

The platform stand-in crashed in free() at its second table read: g++ 12 destroys the temporaries of a conditional operator inside co_await twice (backtrace: ~message of http::exchange::send). The client and the server library were ruled out: reads by curl crashed it alike. After: three reads in a row are answered.

--- a/stand_ins/platform.cpp
+++ b/stand_ins/platform.cpp
@@ -99,9 +99,12 @@
         else if (path == "/v1/table/read" || path == "/v1/table/scan")
         {
             ++reads_;
-            co_await stand_ins::send_json(
-                exchange, path == "/v1/table/read" ? read(exchange.asked())
-                                                   : scan(exchange.asked()));
+            // g++ 12 destroys the temporaries of a conditional operator twice
+            // when it stands inside co_await.
+            const std::string found = path == "/v1/table/read"
+                                          ? read(exchange.asked())
+                                          : scan(exchange.asked());
+            co_await stand_ins::send_json(exchange, found);
         }
         else if (path == "/v1/vms")
         {
