Spread load and membership by gossip within cells

The core of the replacement: sidecars of a cell exchange rows, an entry asks one member of each cell, and identities travel only when a fingerprint changed.

Not wired into the programs yet.

Lint findings of the whole path are mended in the same change.

--- a/src/caller_http/chat_request.cpp
+++ b/src/caller_http/chat_request.cpp
@@ -174,16 +174,9 @@
     return duration(std::chrono::milliseconds(milliseconds));
 }
 
-} // namespace
-
-result<chat_request> parse_chat(
-    const http::request& asked, const request_limits& limits)
+result<void> read_numbers(
+    const json& body, const request_limits& limits, chat_request& out)
 {
-    chat_request out;
-    BOOST_OUTCOME_TRY(const json body, parse_object(asked.body));
-    BOOST_OUTCOME_TRY(auto model, text_of(body, "model"));
-    out.model = model_id{std::move(model)};
-    BOOST_OUTCOME_TRY(out.stream, flag_of(body, "stream", false));
     BOOST_OUTCOME_TRY(
         const auto max_tokens, whole_of(
                                    body, "max_tokens", default_answer_tokens, 1,
@@ -193,6 +186,20 @@
         const auto priority,
         whole_of(body, "priority", 0, -max_priority, max_priority));
     out.priority = static_cast<std::int32_t>(priority);
+    return boost::outcome_v2::success();
+}
+
+} // namespace
+
+result<chat_request> parse_chat(
+    const http::request& asked, const request_limits& limits)
+{
+    chat_request out;
+    BOOST_OUTCOME_TRY(const json body, parse_object(asked.body));
+    BOOST_OUTCOME_TRY(auto model, text_of(body, "model"));
+    out.model = model_id{std::move(model)};
+    BOOST_OUTCOME_TRY(out.stream, flag_of(body, "stream", false));
+    BOOST_OUTCOME_TRY(read_numbers(body, limits, out));
     BOOST_OUTCOME_TRY(out.deadline, deadline_of(asked, limits));
     BOOST_OUTCOME_TRY(read_messages(body, limits, out));
     out.conversation = std::string(asked.header("X-Conversation-Id"));
--- /dev/null
+++ b/src/cell_gossip/gossip_core.hpp
@@ -0,0 +1,126 @@
+// A sidecar's part in its cell's gossip: speaks of itself at each interval and
+// exchanges rows with one member drawn at random.
+#ifndef WAGTAILSEAM_CELL_GOSSIP_GOSSIP_CORE_HPP
+#define WAGTAILSEAM_CELL_GOSSIP_GOSSIP_CORE_HPP
+
+#include "cell_gossip/cell_table.hpp"
+#include "core/random_source.hpp"
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace wagtailseam::cell_gossip
+{
+
+struct gossip_options
+{
+    upstream_id self;
+    incarnation life;
+    /// Above that of earlier lives, such as the calendar time of the start; a
+    /// wrong clock is mended by what others remember of this member.
+    std::uint64_t epoch = 1;
+    /// Pause between two exchanges that this member begins.
+    duration interval = std::chrono::seconds(1);
+    /// An own row is spoken at once when the state changes; load alone waits
+    /// for the interval.
+    cell_table::options table;
+};
+
+/// The configured members of the cell, other than this one.
+struct members_configured
+{
+    std::vector<upstream_id> members;
+};
+
+/// What this member says of itself from now on.
+struct self_changed
+{
+    member_identity identity;
+    member_load load;
+};
+
+/// The timer of the interval is due.
+struct interval_over
+{
+};
+
+/// Another member began an exchange with these rows.
+struct exchange_asked
+{
+    std::vector<member_row> rows;
+};
+
+/// The other member answered an exchange with these rows.
+struct exchange_answered
+{
+    std::vector<member_row> rows;
+};
+
+using gossip_event = std::variant<
+    members_configured, self_changed, interval_over, exchange_asked,
+    exchange_answered>;
+
+/// Begin an exchange with a member.
+struct begin_exchange
+{
+    upstream_id with;
+    std::vector<member_row> rows;
+};
+
+/// Answer the exchange that was asked.
+struct answer_exchange
+{
+    std::vector<member_row> rows;
+};
+
+/// Send interval_over at this time.
+struct wait_interval
+{
+    mono_time until;
+};
+
+using gossip_command =
+    std::variant<begin_exchange, answer_exchange, wait_interval>;
+
+class gossip_core
+{
+public:
+    /// @param random draws members and jitter; outlives this object
+    gossip_core(const gossip_options& options, random_source& random);
+
+    /// Handles one event. Complexity: linear in the cell's members.
+    [[nodiscard]] std::vector<gossip_command> handle(
+        const gossip_event& event, mono_time now);
+
+    [[nodiscard]] const cell_table& table() const noexcept { return table_; }
+
+private:
+    void on(const members_configured& event, mono_time now);
+    void on(const self_changed& event, mono_time now);
+    void on(const interval_over& event, mono_time now);
+    void on(const exchange_asked& event, mono_time now);
+    void on(const exchange_answered& event, mono_time now);
+    void merge(const std::vector<member_row>& rows, mono_time now);
+    /// Adds rows of silent members that beat a row asked with: a member that
+    /// restarted with a lower epoch has to hear of its earlier life, or its
+    /// rows are refused until that life is forgotten.
+    void append_contradictions(
+        const std::vector<member_row>& asked, std::vector<member_row>& rows,
+        mono_time now) const;
+    void speak(mono_time now);
+    void begin(mono_time now);
+
+    gossip_options options_;
+    random_source* random_;
+    cell_table table_;
+    std::vector<upstream_id> members_;
+    member_identity identity_;
+    member_load load_;
+    row_age age_;
+    std::vector<gossip_command> commands_;
+};
+
+} // namespace wagtailseam::cell_gossip
+
+#endif
--- /dev/null
+++ b/src/cell_gossip/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(cell_gossip DEPENDS wagtail_core)
--- /dev/null
+++ b/src/cell_gossip/test/gossip_test.cpp
@@ -0,0 +1,326 @@
+// Gossip in a cell under lost messages, restarts and cut members: tables
+// converge, rows never go back, loads come within a few intervals.
+#include "cell_gossip/cell_reader.hpp"
+#include "cell_gossip/gossip_core.hpp"
+#include "cell_gossip/log_scale.hpp"
+#include "core/overloaded.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <memory>
+
+namespace wagtailseam::cell_gossip
+{
+namespace
+{
+
+/// A cell of members that exchange rows over a network that loses messages.
+class cell_world
+{
+public:
+    cell_world(std::size_t members, std::uint64_t seed) : random_(seed)
+    {
+        for (std::size_t i = 0; i < members; ++i)
+        {
+            ids_.push_back(upstream_id{"engine-" + std::to_string(i)});
+            cut_.push_back(false);
+        }
+        cores_.resize(members);
+        for (std::size_t i = 0; i < members; ++i)
+        {
+            start(i);
+        }
+    }
+
+    /// Starts a member anew; its calendar clock may be behind.
+    void start(std::size_t i)
+    {
+        ++lives_;
+        cores_[i] = std::make_unique<gossip_core>(
+            gossip_options{
+                .self = ids_[i],
+                .life = incarnation{lives_},
+                .epoch = 1 + random_.below(3),
+                .table = {}},
+            random_);
+        obey(i, cores_[i]->handle(members_configured{ids_}, now_));
+    }
+
+    void set_load(std::size_t i, member_state state, std::uint8_t queued)
+    {
+        const member_identity identity{
+            .life = life(i), .state = state, .version = weight_version{1}};
+        obey(
+            i, cores_[i]->handle(
+                   self_changed{identity, {.queued_tokens = queued}}, now_));
+    }
+
+    /// Lets one interval pass for every member.
+    void round(double loss)
+    {
+        loss_ = loss;
+        now_ += std::chrono::seconds(1);
+        for (std::size_t i = 0; i < cores_.size(); ++i)
+        {
+            obey(i, cores_[i]->handle(interval_over{}, now_));
+        }
+    }
+
+    void cut(std::size_t i, bool away) { cut_[i] = away; }
+    [[nodiscard]] incarnation life(std::size_t i) const
+    {
+        return cores_[i]->table().find(ids_[i])->identity.life;
+    }
+    [[nodiscard]] const gossip_core& core(std::size_t i) const
+    {
+        return *cores_[i];
+    }
+    [[nodiscard]] mono_time now() const { return now_; }
+    [[nodiscard]] const std::vector<upstream_id>& ids() const { return ids_; }
+
+    /// Whether all members that are not cut have the same live table.
+    [[nodiscard]] bool converged() const
+    {
+        const auto first = cores_[0]->table().live_fingerprint(now_);
+        for (const auto& core : cores_)
+        {
+            if (core->table().live_fingerprint(now_) != first)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+private:
+    void obey(std::size_t from, const std::vector<gossip_command>& commands)
+    {
+        for (const auto& command : commands)
+        {
+            if (const auto* const begun = std::get_if<begin_exchange>(&command))
+            {
+                exchange(from, *begun);
+            }
+        }
+    }
+
+    void exchange(std::size_t from, const begin_exchange& begun)
+    {
+        const auto to = static_cast<std::size_t>(
+            std::find(ids_.begin(), ids_.end(), begun.with) - ids_.begin());
+        if (lost(from, to))
+        {
+            return;
+        }
+        for (const auto& reply :
+             cores_[to]->handle(exchange_asked{begun.rows}, now_))
+        {
+            const auto* const answer = std::get_if<answer_exchange>(&reply);
+            if (answer != nullptr && !lost(from, to))
+            {
+                obey(
+                    from, cores_[from]->handle(
+                              exchange_answered{answer->rows}, now_));
+            }
+        }
+    }
+
+    bool lost(std::size_t a, std::size_t b)
+    {
+        return cut_[a] || cut_[b] || random_.unit() < loss_;
+    }
+
+    random_source random_;
+    std::vector<upstream_id> ids_;
+    std::vector<std::unique_ptr<gossip_core>> cores_;
+    std::vector<bool> cut_;
+    mono_time now_{std::chrono::hours(1)};
+    std::uint64_t lives_ = 0;
+    double loss_ = 0;
+};
+
+RC_GTEST_PROP(
+    gossip_core, lost_messages_and_restarts_then_calm_converges,
+    (std::uint64_t seed, std::uint8_t size))
+{
+    const std::size_t members = 2 + size % 40;
+    cell_world world(members, seed);
+    random_source choose(seed);
+    for (int round = 0; round < 12; ++round)
+    {
+        const auto who = choose.below(members);
+        switch (choose.below(4))
+        {
+        case 0:
+            world.start(who);
+            break;
+        case 1:
+            world.cut(who, choose.below(2) == 0);
+            break;
+        case 2:
+            world.set_load(who, member_state::draining, 7);
+            break;
+        default:
+            break;
+        }
+        world.round(0.5);
+    }
+    for (std::size_t i = 0; i < members; ++i)
+    {
+        world.cut(i, false);
+    }
+    for (int round = 0; round < 25; ++round)
+    {
+        world.round(0);
+    }
+    RC_ASSERT(world.converged());
+    for (std::size_t i = 0; i < members; ++i)
+    {
+        const auto* const seen = world.core(0).table().find(world.ids()[i]);
+        RC_ASSERT(seen != nullptr);
+        RC_ASSERT(seen->identity.life == world.life(i));
+    }
+}
+
+RC_GTEST_PROP(
+    cell_table, rows_in_any_order_leave_the_newest,
+    (const std::vector<std::pair<std::uint8_t, std::uint8_t>>& ages))
+{
+    cell_table table;
+    row_age newest;
+    for (const auto& [epoch, beat] : ages)
+    {
+        const row_age age{epoch, beat};
+        table.merge({.member = upstream_id{"a"}, .age = age}, mono_time{});
+        newest = std::max(newest, age);
+        RC_ASSERT(table.find(upstream_id{"a"})->age == newest);
+    }
+}
+
+TEST(gossip_core, restart_with_lower_epoch_after_silence_is_heard_again)
+{
+    random_source random(1);
+    const upstream_id a{"a"};
+    const upstream_id b{"b"};
+    gossip_core other({.self = b, .life = incarnation{9}, .table = {}}, random);
+    mono_time now{};
+    const member_row earlier{
+        .member = a, .age = {5, 50}, .identity = {.life = incarnation{1}}};
+    (void)other.handle(exchange_asked{{earlier}}, now);
+    now += std::chrono::seconds(60);
+    gossip_core restarted(
+        {.self = a, .life = incarnation{2}, .epoch = 1, .table = {}}, random);
+    (void)restarted.handle(members_configured{{a, b}}, now);
+    for (int exchange = 0; exchange < 2; ++exchange)
+    {
+        for (const auto& command : restarted.handle(interval_over{}, now))
+        {
+            const auto* const begun = std::get_if<begin_exchange>(&command);
+            if (begun == nullptr)
+            {
+                continue;
+            }
+            const auto reply = other.handle(exchange_asked{begun->rows}, now);
+            (void)restarted.handle(
+                exchange_answered{
+                    std::get<answer_exchange>(reply.front()).rows},
+                now);
+        }
+    }
+    EXPECT_EQ(other.table().find(a)->identity.life, incarnation{2});
+}
+
+TEST(cell_table, silent_member_is_left_out_then_forgotten)
+{
+    cell_table table(
+        {.suspect_after = std::chrono::seconds(6),
+         .forget_after = std::chrono::seconds(60)});
+    const mono_time start{};
+    table.merge({.member = upstream_id{"a"}, .age = {1, 1}}, start);
+    EXPECT_EQ(table.live_rows(start + std::chrono::seconds(6)).size(), 1U);
+    EXPECT_EQ(table.live_rows(start + std::chrono::seconds(7)).size(), 0U);
+    table.forget_silent(start + std::chrono::seconds(61));
+    EXPECT_EQ(table.size(), 0U);
+}
+
+TEST(cell_table, clock_of_row_moves_on_with_time_in_table)
+{
+    cell_table table;
+    const mono_time start{};
+    table.merge(
+        {.member = upstream_id{"a"}, .age = {1, 1}, .clock_us = 500}, start);
+    const auto rows = table.live_rows(start + duration(40));
+    EXPECT_EQ(rows.front().clock_us, 540);
+}
+
+TEST(log_scale, value_read_back_is_within_five_percent)
+{
+    for (double value = 1; value < 1e9; value *= 1.37)
+    {
+        const double back = from_level(to_level(value));
+        EXPECT_NEAR(back, value, 0.05 * (value + 1)) << value;
+    }
+    EXPECT_EQ(to_level(0), 0);
+}
+
+class cell_reader_fixture : public testing::Test
+{
+protected:
+    void configure()
+    {
+        const auto commands = reader_.handle(
+            cells_configured{{{cell_id{0}, {upstream_id{"a"}}}}}, now_);
+        ASSERT_TRUE(std::holds_alternative<ask_cell>(commands.front()));
+    }
+
+    fingerprint asked_with()
+    {
+        now_ += std::chrono::seconds(5);
+        for (const auto& command : reader_.handle(reader_due{}, now_))
+        {
+            if (const auto* const ask = std::get_if<ask_cell>(&command))
+            {
+                return ask->known;
+            }
+        }
+        return {};
+    }
+
+    random_source random_{1};
+    cell_reader reader_{{}, random_};
+    mono_time now_{};
+    const std::vector<member_row> rows_{
+        {.member = upstream_id{"a"}, .age = {1, 1}, .clock_us = 100}};
+};
+
+TEST_F(cell_reader_fixture, loads_after_rows_update_loads_and_clock)
+{
+    configure();
+    (void)reader_.handle(cell_answered{cell_id{0}, {}, rows_, {}}, now_);
+    EXPECT_EQ(asked_with(), fingerprint_of(rows_));
+    (void)reader_.handle(
+        cell_answered{cell_id{0}, {}, {}, {{.queued_tokens = 9}}}, now_);
+    const auto& row = reader_.view(cell_id{0})->rows.front();
+    EXPECT_EQ(row.load.queued_tokens, 9);
+    EXPECT_EQ(row.clock_us, 100 + duration(std::chrono::seconds(5)).count());
+}
+
+TEST_F(cell_reader_fixture, loads_that_do_not_fit_drop_the_view)
+{
+    configure();
+    (void)reader_.handle(cell_answered{cell_id{0}, {}, rows_, {}}, now_);
+    (void)reader_.handle(cell_answered{cell_id{0}, {}, {}, {{}, {}}}, now_);
+    EXPECT_EQ(reader_.view(cell_id{0}), nullptr);
+}
+
+TEST_F(cell_reader_fixture, silent_member_leads_to_retry_before_interval)
+{
+    configure();
+    const auto commands = reader_.handle(cell_silent{cell_id{0}}, now_);
+    const auto& wait = std::get<wait_reader>(commands.back());
+    EXPECT_EQ(wait.until, now_ + std::chrono::milliseconds(500));
+}
+
+} // namespace
+} // namespace wagtailseam::cell_gossip
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -23,7 +23,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
-constexpr std::size_t read_buffer_bytes = 16 * 1024;
+constexpr std::size_t read_buffer_bytes = std::size_t{16} * 1024;
 
 struct connection
 {
--- a/src/messages/delimited.hpp
+++ b/src/messages/delimited.hpp
@@ -20,7 +20,8 @@
 {
 public:
     /// Longest message accepted, in bytes.
-    static constexpr std::size_t max_message_bytes = 8 * 1024 * 1024;
+    static constexpr std::size_t max_message_bytes =
+        std::size_t{8} * 1024 * 1024;
 
     /// Adds bytes as they arrive.
     void feed(std::string_view bytes);
--- a/src/peer/control_server.cpp
+++ b/src/peer/control_server.cpp
@@ -17,7 +17,7 @@
 namespace
 {
 
-constexpr std::size_t max_control_bytes = 4 * 1024 * 1024;
+constexpr std::size_t max_control_bytes = std::size_t{4} * 1024 * 1024;
 
 } // namespace
 
--- a/src/sidecar/attempt_record.hpp
+++ b/src/sidecar/attempt_record.hpp
@@ -25,9 +25,10 @@
 {
 public:
     /// The upstream is not read while this many bytes wait for a reader.
-    static constexpr std::size_t max_unread_bytes = 256 * 1024;
+    static constexpr std::size_t max_unread_bytes = std::size_t{256} * 1024;
     /// An answer longer than this is ended as broken.
-    static constexpr std::size_t max_answer_bytes = 32 * 1024 * 1024;
+    static constexpr std::size_t max_answer_bytes =
+        std::size_t{32} * 1024 * 1024;
 
     attempt_record(
         const asio::any_io_executor& executor, attempt::attempt_id id,
--- a/src/sidecar/event_stream.hpp
+++ b/src/sidecar/event_stream.hpp
@@ -31,7 +31,7 @@
 {
 public:
     /// Longest event accepted, in bytes.
-    static constexpr std::size_t max_event_bytes = 1024 * 1024;
+    static constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
 
     /// Reads all whole events in the bytes so far.
     /// @errors malformed_message: the engine said something unreadable or
