--- /dev/null
+++ b/src/quarantine/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(quarantine DEPENDS wagtail_platform)
