--- a/src/sidecar/app.cpp
+++ b/src/sidecar/app.cpp
@@ -26,6 +26,7 @@
 /// Entries learn that this sidecar leaves before it stops listening.
 constexpr std::chrono::seconds drain_notice{1};
 constexpr std::chrono::milliseconds drain_poll{50};
+constexpr std::chrono::seconds store_tick_interval{1};
 constexpr unsigned status_refused = 409;
 constexpr unsigned status_gone = 410;
 
@@ -62,9 +63,22 @@
           [this](messages::control_request asked)
           { return answer_control(std::move(asked)); })
 {
-    const auto version_changed = [this](weight_version version)
-    { (void)gate_.handle(attempt::weight_version_changed{version}, now()); };
-    asio::co_spawn(context_, monitor_.run(version_changed), asio::detached);
+    if (settings_.role == configuration::upstream_kind::store)
+    {
+        store_ = std::make_unique<store_service>(
+            kept_cache::block_store_options{
+                .memory_capacity = settings_.store_memory},
+            gate_.life(), random_source(runtime::random_incarnation()),
+            metrics_);
+        asio::co_spawn(context_, expire_pins(), asio::detached);
+    }
+    else
+    {
+        const auto version_changed = [this](weight_version version) {
+            (void)gate_.handle(attempt::weight_version_changed{version}, now());
+        };
+        asio::co_spawn(context_, monitor_.run(version_changed), asio::detached);
+    }
     telemetry::event("started")
         .with("upstream", settings_.upstream)
         .with("incarnation", gate_.life())
@@ -101,7 +115,16 @@
         co_await refuse(exchange, checked.error().code, "unsigned request");
         co_return;
     }
-    if (exchange.asked().path() == "/v1/dispatch")
+    if (store_ && store_service::serves(exchange.asked().path()))
+    {
+        co_await exchange.send(
+            store_->handle(exchange.asked(), monotonic_clock::now()));
+    }
+    else if (store_)
+    {
+        co_await refuse(exchange, result_code::unknown_route, "");
+    }
+    else if (exchange.asked().path() == "/v1/dispatch")
     {
         co_await serve_dispatch(exchange);
     }
@@ -265,6 +288,22 @@
     }
 }
 
+bool app::ready() const noexcept
+{
+    return store_ != nullptr || monitor_.report().ready;
+}
+
+asio::awaitable<void> app::expire_pins()
+{
+    asio::steady_timer timer(context_);
+    for (;;)
+    {
+        timer.expires_after(store_tick_interval);
+        co_await timer.async_wait(completion);
+        store_->tick(monotonic_clock::now());
+    }
+}
+
 void app::drain()
 {
     telemetry::event("draining").with("running", gate_.running());
--- a/src/sidecar/app.hpp
+++ b/src/sidecar/app.hpp
@@ -11,6 +11,7 @@
 #include "platform/client.hpp"
 #include "sidecar/attempt_record.hpp"
 #include "sidecar/settings.hpp"
+#include "sidecar/store_service.hpp"
 #include "sidecar/upstream_monitor.hpp"
 #include "telemetry/counters.hpp"
 
@@ -38,6 +39,9 @@
 
 private:
     asio::awaitable<void> serve_data(http::exchange& exchange);
+    asio::awaitable<void> expire_pins();
+    /// Whether the upstream can take work; a store is its own upstream.
+    [[nodiscard]] bool ready() const noexcept;
     asio::awaitable<void> serve_admin(http::exchange& exchange);
     asio::awaitable<void> serve_dispatch(http::exchange& exchange);
     asio::awaitable<void> serve_resume(http::exchange& exchange);
@@ -75,6 +79,8 @@
     platform::client platform_;
     attempt::dispatch_gate gate_;
     upstream_monitor monitor_;
+    /// Null but in the role of a store.
+    std::unique_ptr<store_service> store_;
     /// Attempts that began and whose frames are still kept.
     std::map<attempt::attempt_id, std::shared_ptr<attempt_record>> records_;
     http::server data_server_;
--- a/src/sidecar/control.cpp
+++ b/src/sidecar/control.cpp
@@ -78,7 +78,7 @@
     load.set_incarnation(gate_.life().value());
     load.set_role(std::string(name(settings_.role)));
     load.set_draining(gate_.draining());
-    load.set_upstream_ready(report.ready);
+    load.set_upstream_ready(ready());
     load.set_running(static_cast<std::uint32_t>(gate_.running()));
     load.set_queued(report.queued);
     load.set_queued_tokens(report.queued_tokens.value());
@@ -134,9 +134,10 @@
         {"incarnation", gate_.life().value()},
         {"config_number", gate_.config().value()},
         {"draining", gate_.draining()},
-        {"upstream_ready", report.ready},
+        {"upstream_ready", ready()},
         {"running", gate_.running()},
         {"kept_streams", records_.size()},
+        {"kept_blocks", store_ ? store_->blocks() : 0},
         {"weight_version", report.version.value()},
         {"control_bytes_sent", traffic_.bytes_sent},
         {"control_bytes_received", traffic_.bytes_received}};
@@ -156,7 +157,7 @@
     }
     else if (path == "/readyz")
     {
-        const bool ready = monitor_.report().ready && !gate_.draining();
+        const bool ready = app::ready() && !gate_.draining();
         answer.status = ready ? 200 : unavailable;
         answer.body = ready ? "ready\n" : "not ready\n";
     }
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -12,6 +12,8 @@
 const text_rule identifier{.format = text_format::identifier};
 const text_rule address{.format = text_format::address};
 
+constexpr std::uint64_t bytes_per_mb = 1'000'000;
+
 settings::schema make_schema()
 {
     return {
@@ -43,6 +45,10 @@
          {.name = "process_key_file",
           .rule = text_rule{},
           .description = "File with one or two process keys."},
+         {.name = "store_memory_mb",
+          .rule = settings::whole_rule{.min = 1, .max = 1'000'000},
+          .fallback = 1024,
+          .description = "Memory for kept blocks, for the role store."},
          {.name = "log_level",
           .rule = text_rule{.one_of = {"debug", "info", "warn", "error"}},
           .fallback = "info",
@@ -70,7 +76,9 @@
         .admin_listen = http::address{text("admin_listen")},
         .upstream_address = http::address{text("upstream_address")},
         .platform = http::address{text("platform")},
-        .process_key_file = text("process_key_file")};
+        .process_key_file = text("process_key_file"),
+        .store_memory = byte_count{
+            value["store_memory_mb"].get<std::uint64_t>() * bytes_per_mb}};
 }
 
 } // namespace wagtailseam::sidecar
--- a/src/sidecar/settings.hpp
+++ b/src/sidecar/settings.hpp
@@ -24,6 +24,8 @@
     http::address upstream_address;
     http::address platform;
     std::string process_key_file;
+    /// Memory for kept blocks; stores only.
+    byte_count store_memory;
 };
 
 /// Returns the schema of the settings file.
