Import a returning prompt's pieces from a store before it runs

The entry names the prompt's pieces by the workspace's prefix root and the store by rendezvous; the engine's sidecar imports what the engine lacks before the run and exports new pieces after it. The engine stand-in gives a wrong answer when it used wrong bytes.

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -123,8 +123,8 @@
 class Cluster:
     """A deployment of engines, services, sidecars and entries."""
 
-    def __init__(self, engines=1, services=1, entries=1, *, engine_flags=(),
-                 service_flags=(), workspaces=("ward-1", "ward-2"),
+    def __init__(self, engines=1, services=1, entries=1, *, stores=0,
+                 engine_flags=(), service_flags=(), workspaces=("ward-1", "ward-2"),
                  proxied=False, seed=1):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="wagtail-"))
         self.processes = {}
@@ -139,6 +139,8 @@
             self._start_upstream(f"engine-{i + 1}", "engine", engine_flags)
         for i in range(services):
             self._start_upstream(f"ledger-{i + 1}", "service", service_flags)
+        for i in range(stores):
+            self._start_upstream(f"store-{i + 1}", "store", ())
         self._write_configuration()
         for i in range(entries):
             self._start_entry(f"entry-{i + 1}")
@@ -173,8 +175,9 @@
                 "upstream": f"127.0.0.1:{upstream}",
                 "admin": f"127.0.0.1:{admin}", "flags": list(flags)}
         self.upstreams.append(spec)
-        self._run(name, BIN / f"{kind}_stand_in",
-                  f"--listen={spec['upstream']}", *flags)
+        if kind != "store":
+            self._run(name, BIN / f"{kind}_stand_in",
+                      f"--listen={spec['upstream']}", *flags)
         path = self._settings(f"sidecar-{name}", {
             "upstream": name, "role": kind, "vm": f"vm-{name}",
             "data_centre": "ayyanthole", "listen": spec["data"],
--- a/src/entry/chat.cpp
+++ b/src/entry/chat.cpp
@@ -1,6 +1,7 @@
 // Streaming of chat completions.
 #include "entry/chat.hpp"
 
+#include "kept_cache/store_choice.hpp"
 #include "telemetry/event_log.hpp"
 
 #include <algorithm>
@@ -19,6 +20,22 @@
     return found == config.models.end() ? nullptr : &*found;
 }
 
+/// Returns the stores of the configuration, named by their addresses. Until
+/// stores report their room, all count alike.
+std::vector<kept_cache::store_candidate> stores_of(
+    const configuration::configuration& config)
+{
+    std::vector<kept_cache::store_candidate> stores;
+    for (const auto& upstream : config.upstreams)
+    {
+        if (upstream.kind == configuration::upstream_kind::store)
+        {
+            stores.push_back({.id = upstream_id{upstream.sidecar}});
+        }
+    }
+    return stores;
+}
+
 caller_http::usage usage_of(const request_result& ended)
 {
     return caller_http::usage{
@@ -97,8 +114,23 @@
     asked.set_priority(request_.priority);
     asked.set_path("/v1/chat/completions");
     // Workspaces and versions must not share prefixes in an engine's cache.
-    const std::string salt =
-        workspace_.id.value() + ":" + std::to_string(version_.value());
+    const digest root = kept_cache::prefix_root(
+        shared_.keys.sign(0, "kept cache of workspace " + workspace_.id.value())
+            .view(),
+        {.model = request_.model, .adapter = {}, .version = version_});
+    const auto chain = kept_cache::chain_of(root, request_.rendered);
+    const auto store = kept_cache::store_for(chain, stores_of(*shared_.config));
+    if (store)
+    {
+        for (const kept_cache::block_id& id : chain)
+        {
+            asked.add_prefix(std::string(id.view()));
+        }
+        asked.set_import_store(store->value());
+        asked.set_import_pieces(static_cast<std::uint32_t>(chain.size()));
+        asked.set_cache_salt(std::string(root.view()));
+    }
+    const std::string salt = root.hex();
     asked.set_body(
         caller_http::upstream_body(request_, delivered, tokens, salt));
     return asked;
--- a/src/entry/slice.cmake
+++ b/src/entry/slice.cmake
@@ -1,1 +1,1 @@
-wagtail_slice(entry DEPENDS wagtail_attempt wagtail_caller_http wagtail_configuration wagtail_peer wagtail_platform wagtail_runtime wagtail_telemetry)
+wagtail_slice(entry DEPENDS wagtail_attempt wagtail_caller_http wagtail_configuration wagtail_kept_cache wagtail_peer wagtail_platform wagtail_runtime wagtail_telemetry)
--- a/src/sidecar/app.cpp
+++ b/src/sidecar/app.cpp
@@ -51,6 +51,8 @@
       gate_(attempt::dispatch_gate_options{
           .life = incarnation{runtime::random_incarnation()}}),
       monitor_(client_, settings_.upstream_address),
+      kept_cache_(
+          context, client_, keys_, metrics_, settings_.upstream_address),
       data_server_(
           context.get_executor(), {.listen = settings_.listen},
           [this](http::exchange& exchange) { return serve_data(exchange); }),
@@ -74,8 +76,10 @@
     }
     else
     {
-        const auto version_changed = [this](weight_version version) {
+        const auto version_changed = [this](weight_version version)
+        {
             (void)gate_.handle(attempt::weight_version_changed{version}, now());
+            kept_cache_.version_changed(version);
         };
         asio::co_spawn(context_, monitor_.run(version_changed), asio::detached);
     }
@@ -223,15 +227,23 @@
     messages::dispatch asked, std::shared_ptr<attempt_record> record)
 {
     const bool engine = settings_.role == configuration::upstream_kind::engine;
-    const run_end ended = engine ? co_await run_at_engine(
-                                       client_, settings_.upstream_address,
-                                       std::move(asked), record)
-                                 : co_await run_at_service(
-                                       client_, settings_.upstream_address,
-                                       std::move(asked), record);
+    if (engine)
+    {
+        co_await kept_cache_.bring(asked);
+    }
+    const run_end ended =
+        engine ? co_await run_at_engine(
+                     client_, settings_.upstream_address, asked, record)
+               : co_await run_at_service(
+                     client_, settings_.upstream_address, std::move(asked),
+                     record);
     const attempt::attempt_id id = record->id();
     if (ended.code == result_code::ok)
     {
+        if (engine)
+        {
+            kept_cache_.export_later(asked);
+        }
         (void)gate_.handle(
             attempt::run_finished{id, {ended.status, record->body()}}, now());
     }
--- a/src/sidecar/app.hpp
+++ b/src/sidecar/app.hpp
@@ -10,6 +10,7 @@
 #include "peer/peer.hpp"
 #include "platform/client.hpp"
 #include "sidecar/attempt_record.hpp"
+#include "sidecar/kept_cache_agent.hpp"
 #include "sidecar/settings.hpp"
 #include "sidecar/store_service.hpp"
 #include "sidecar/upstream_monitor.hpp"
@@ -79,6 +80,7 @@
     platform::client platform_;
     attempt::dispatch_gate gate_;
     upstream_monitor monitor_;
+    kept_cache_agent kept_cache_;
     /// Null but in the role of a store.
     std::unique_ptr<store_service> store_;
     /// Attempts that began and whose frames are still kept.
--- a/src/sidecar/store_service.cpp
+++ b/src/sidecar/store_service.cpp
@@ -92,6 +92,10 @@
     {
         answer = read(asked, now);
     }
+    else if (route == "held")
+    {
+        answer = held(asked);
+    }
     else if (route == "release")
     {
         apply(release_pin{pin_id{number(asked, "pin")}}, now);
@@ -195,6 +199,23 @@
     return find<chunk_ready>(ready) != nullptr ? answer : refuse(ready);
 }
 
+http::response store_service::held(const http::request& asked) const
+{
+    prefix_chain chain;
+    constexpr std::size_t digits = 2 * digest::size;
+    std::string_view ids = asked.body;
+    for (; ids.size() >= digits; ids.remove_prefix(digits))
+    {
+        chain.push_back(digest::from_hex(ids.substr(0, digits)));
+    }
+    const nlohmann::json body{
+        {"pieces",
+         store_.held_pieces(scope_tag{number(asked, "scope")}, chain)}};
+    http::response answer;
+    answer.body = body.dump();
+    return answer;
+}
+
 std::vector<store_command> store_service::apply(
     const store_event& what, mono_time now)
 {
--- a/src/sidecar/store_service.hpp
+++ b/src/sidecar/store_service.hpp
@@ -48,6 +48,7 @@
         const http::request& asked, mono_time now);
     [[nodiscard]] http::response read(
         const http::request& asked, mono_time now);
+    [[nodiscard]] http::response held(const http::request& asked) const;
     /// Applies an event, keeps the bytes in step, and returns the other
     /// commands.
     std::vector<kept_cache::store_command> apply(
--- a/stand_ins/engine.cpp
+++ b/stand_ins/engine.cpp
@@ -3,6 +3,7 @@
 // a whole answer to its own prompt from any other.
 #include "control_flags.hpp"
 #include "core/digest.hpp"
+#include "kept_cache/prefix.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -13,6 +14,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <list>
+#include <optional>
 #include <unordered_map>
 
 ABSL_FLAG(std::string, model, "entitlement-reader", "Model served.");
@@ -35,58 +37,105 @@
 constexpr std::size_t piece_bytes = piece_tokens * bytes_per_token;
 constexpr int crash_exit_code = 42;
 
-/// The prefix cache: chained digests of pieces, least recently used out first.
+/// Bytes of a piece's block: what the true computation would give.
+std::string true_block(const digest& piece)
+{
+    constexpr std::size_t repeats = 256;
+    std::string bytes;
+    for (std::size_t i = 0; i < repeats; ++i)
+    {
+        bytes += piece.view();
+    }
+    return bytes;
+}
+
+/// The prefix cache: blocks of pieces, least recently used out first.
 class prefix_cache
 {
 public:
     explicit prefix_cache(std::size_t capacity) : capacity_(capacity) {}
 
-    /// Returns how many leading pieces are cached, and caches them all.
-    std::size_t look_up(const std::string& salt, const std::string& prompt)
+    struct look_up_result
     {
         std::size_t hits = 0;
-        bool hit = true;
-        digest chain = sha256(salt);
-        for (std::size_t at = 0; at + piece_bytes <= prompt.size();
-             at += piece_bytes)
+        std::size_t imported = 0;
+        /// Whether all blocks used hold the true bytes.
+        bool sound = true;
+    };
+
+    /// Finds the leading pieces that are cached, and computes the others.
+    look_up_result look_up(const kept_cache::prefix_chain& chain)
+    {
+        look_up_result found;
+        found.hits = held(chain);
+        for (std::size_t i = 0; i < chain.size(); ++i)
         {
-            chain = sha256(
-                std::string(chain.view()) + prompt.substr(at, piece_bytes));
-            hit = touch(chain) && hit;
-            hits += hit ? 1 : 0;
+            const bool hit = i < found.hits;
+            const block used = hit ? blocks_.at(chain[i])
+                                   : block{true_block(chain[i]), false, {}};
+            found.imported += used.imported ? 1 : 0;
+            found.sound = found.sound && used.bytes == true_block(chain[i]);
+            put(chain[i], used.bytes, used.imported);
         }
-        return hits;
+        return found;
     }
 
-private:
-    bool touch(const digest& piece)
+    std::size_t held(const kept_cache::prefix_chain& chain) const
+    {
+        const auto missing = std::find_if_not(
+            chain.begin(), chain.end(),
+            [this](const digest& id) { return blocks_.contains(id); });
+        return static_cast<std::size_t>(missing - chain.begin());
+    }
+
+    void put(const digest& id, std::string bytes, bool imported)
     {
-        const auto found = places_.find(piece);
-        const bool known = found != places_.end();
-        if (known)
+        const auto known = blocks_.find(id);
+        if (known != blocks_.end())
         {
-            order_.erase(found->second);
+            order_.erase(known->second.place);
         }
-        order_.push_front(piece);
-        places_[piece] = order_.begin();
+        order_.push_front(id);
+        blocks_[id] = block{std::move(bytes), imported, order_.begin()};
         if (order_.size() > capacity_)
         {
-            places_.erase(order_.back());
+            blocks_.erase(order_.back());
             order_.pop_back();
         }
-        return known;
     }
 
+    /// Returns a block's bytes, nothing when it is not cached.
+    std::optional<std::string> bytes_of(const digest& id) const
+    {
+        const auto found = blocks_.find(id);
+        return found == blocks_.end() ? std::nullopt
+                                      : std::optional(found->second.bytes);
+    }
+
+    void clear()
+    {
+        blocks_.clear();
+        order_.clear();
+    }
+
+private:
+    struct block
+    {
+        std::string bytes;
+        bool imported = false;
+        std::list<digest>::iterator place;
+    };
+
     std::size_t capacity_;
     std::list<digest> order_;
-    std::unordered_map<digest, std::list<digest>::iterator> places_;
+    std::unordered_map<digest, block> blocks_;
 };
 
 /// A chat completion as asked.
 struct completion
 {
     std::string prompt;
-    std::string salt;
+    kept_cache::prefix_chain pieces;
     std::size_t first_token = 0;
     std::size_t tokens = 0;
 };
@@ -94,13 +143,16 @@
 completion read_completion(const json& body)
 {
     completion asked;
+    std::string rendered;
     const json& messages = body["messages"];
     const bool continues = body.value("continue_final_message", false);
     const std::size_t whole = messages.size() - (continues ? 1 : 0);
     for (std::size_t i = 0; i < whole; ++i)
     {
-        asked.prompt += messages[i].value("role", std::string()) + '\n' +
-                        messages[i].value("content", std::string()) + '\n';
+        const auto role = messages[i].value("role", std::string());
+        const auto content = messages[i].value("content", std::string());
+        asked.prompt += role + '\n' + content + '\n';
+        rendered += '\x1e' + role + '\x1f' + content;
     }
     if (continues)
     {
@@ -108,7 +160,10 @@
         asked.first_token = static_cast<std::size_t>(
             std::count(partial.begin(), partial.end(), ' '));
     }
-    asked.salt = body.value("cache_salt", std::string());
+    // The salt is the root of the prefix chain.
+    asked.pieces = kept_cache::chain_of(
+        digest::from_hex(body.value("cache_salt", std::string())), rendered,
+        {.piece_size = byte_count{piece_bytes}});
     asked.tokens = body.value("max_tokens", std::size_t{16});
     return asked;
 }
@@ -142,9 +197,19 @@
             const json counts{
                 {"completions", completions_},
                 {"prompt_tokens", prompt_tokens_},
-                {"computed_tokens", computed_tokens_}};
+                {"computed_tokens", computed_tokens_},
+                {"unsound", unsound_}};
             co_await stand_ins::send_json(exchange, counts.dump());
         }
+        else if (path == "/control/clear-cache")
+        {
+            cache_.clear();
+            co_await stand_ins::send_json(exchange, "{}");
+        }
+        else if (path.substr(0, kv_routes.size()) == kv_routes)
+        {
+            co_await serve_blocks(exchange);
+        }
         else
         {
             co_await complete(exchange);
@@ -152,6 +217,51 @@
     }
 
 private:
+    static constexpr std::string_view kv_routes = "/v1/kv/";
+
+    /// Export, import and look-up of blocks: ids in the query or the body.
+    asio::awaitable<void> serve_blocks(http::exchange& exchange)
+    {
+        constexpr unsigned not_found = 404;
+        constexpr unsigned conflict = 409;
+        constexpr std::size_t digits = 2 * digest::size;
+        const http::request& asked = exchange.asked();
+        const std::string_view route = asked.path().substr(kv_routes.size());
+        if (route == "held")
+        {
+            kept_cache::prefix_chain chain;
+            std::string_view ids = asked.body;
+            for (; ids.size() >= digits; ids.remove_prefix(digits))
+            {
+                chain.push_back(digest::from_hex(ids.substr(0, digits)));
+            }
+            const json held{{"pieces", cache_.held(chain)}};
+            co_await stand_ins::send_json(exchange, held.dump());
+            co_return;
+        }
+        const std::string version =
+            "&version=" + std::to_string(absl::GetFlag(FLAGS_weight_version));
+        const std::size_t at = asked.target.find("id=");
+        if (at == std::string::npos || !asked.target.ends_with(version))
+        {
+            co_await stand_ins::send_json(exchange, "{}", conflict);
+            co_return;
+        }
+        const digest id = digest::from_hex(asked.target.substr(at + 3, digits));
+        if (route == "import")
+        {
+            cache_.put(id, asked.body, true);
+            co_await stand_ins::send_json(exchange, "{}");
+            co_return;
+        }
+        http::response answer;
+        const auto bytes = cache_.bytes_of(id);
+        answer.status = bytes ? answer.status : not_found;
+        answer.content_type = "application/octet-stream";
+        answer.body = bytes.value_or("");
+        co_await exchange.send(std::move(answer));
+    }
+
     asio::awaitable<void> complete(http::exchange& exchange)
     {
         constexpr unsigned bad_request = 400;
@@ -161,7 +271,7 @@
             co_await stand_ins::send_json(exchange, "{}", bad_request);
             co_return;
         }
-        const completion asked = read_completion(body);
+        completion asked = read_completion(body);
         const std::string marker = absl::GetFlag(FLAGS_crash_marker);
         if (!marker.empty() && asked.prompt.find(marker) != std::string::npos)
         {
@@ -169,13 +279,20 @@
         }
         ++running_;
         ++completions_;
-        const std::size_t hits = cache_.look_up(asked.salt, asked.prompt);
+        const auto found = cache_.look_up(asked.pieces);
+        if (!found.sound)
+        {
+            // An answer computed from wrong bytes is a wrong answer.
+            asked.prompt += "wrong";
+            ++unsound_;
+        }
         const std::size_t all = asked.prompt.size() / bytes_per_token;
-        const std::size_t cached = hits * piece_tokens;
+        const std::size_t cached = found.hits * piece_tokens;
         prompt_tokens_ += all;
         computed_tokens_ += all - cached;
         co_await prefill(all - cached);
-        co_await stream(exchange, asked, all, cached);
+        co_await stream(
+            exchange, asked, all, cached, found.imported * piece_tokens);
         --running_;
     }
 
@@ -194,7 +311,7 @@
 
     asio::awaitable<void> stream(
         http::exchange& exchange, const completion& asked,
-        std::size_t prompt_tokens, std::size_t cached)
+        std::size_t prompt_tokens, std::size_t cached, std::size_t imported)
     {
         const std::string seed = sha256(asked.prompt).hex();
         http::response head;
@@ -223,7 +340,8 @@
         {
             const json usage{
                 {"prompt_tokens", prompt_tokens},
-                {"prompt_tokens_details", {{"cached_tokens", cached}}}};
+                {"prompt_tokens_details",
+                 {{"cached_tokens", cached}, {"imported_tokens", imported}}}};
             co_await exchange.write(
                 R"(data: {"choices":[{"delta":{},"finish_reason":"length"}],)"
                 R"("usage":)" +
@@ -251,6 +369,8 @@
     std::uint64_t completions_ = 0;
     std::uint64_t prompt_tokens_ = 0;
     std::uint64_t computed_tokens_ = 0;
+    /// Completions that used a block with wrong bytes.
+    std::uint64_t unsound_ = 0;
 };
 
 } // namespace
