--- a/src/kept_cache/importer.cpp
+++ b/src/kept_cache/importer.cpp
@@ -91,11 +91,8 @@
         fail_piece(done.id, result_code::block_digest_mismatch);
         return;
     }
-    if (under_way.version != version_)
-    {
-        fail_piece(done.id, result_code::weight_version_mismatch);
-        return;
-    }
+    // A swap ends all imports, and with them the flights not handed over.
+    BOOST_ASSERT(under_way.version == version_);
     under_way.at = stage::handing_over;
     out_.emplace_back(hand_to_engine{done.flight, under_way.version, done.id});
 }
--- a/src/kept_cache/test/importer_test.cpp
+++ b/src/kept_cache/test/importer_test.cpp
@@ -336,5 +336,73 @@
     EXPECT_EQ(subject.flights(), 0U);
 }
 
+class importer_test : public testing::Test
+{
+protected:
+    template <class T>
+    const T* sent(const import_event& what)
+    {
+        out_ = subject_.handle(what, mono_time(duration(1)));
+        for (const import_command& command : out_)
+        {
+            if (const T* const found = std::get_if<T>(&command))
+            {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+    static import_prefix ask(std::uint64_t version)
+    {
+        return {
+            .call = call_id{1},
+            .version = weight_version{version},
+            .ids = {chain_of_version(version).front()},
+            .give_up_at = mono_time(duration(10))};
+    }
+
+    importer subject_{{}};
+    std::vector<import_command> out_;
+};
+
+TEST_F(importer_test, import_planned_for_other_version_opens_nothing)
+{
+    (void)sent<import_ended>(engine_version{weight_version{1}});
+    const auto* const ended = sent<import_ended>(ask(2));
+    ASSERT_NE(ended, nullptr);
+    EXPECT_EQ(ended->code, result_code::weight_version_mismatch);
+    EXPECT_EQ(subject_.flights(), 0U);
+}
+
+TEST_F(importer_test, swap_during_import_drops_its_flights)
+{
+    (void)sent<import_ended>(engine_version{weight_version{1}});
+    EXPECT_NE(sent<open_piece>(ask(1)), nullptr);
+    const auto* const ended =
+        sent<import_ended>(engine_version{weight_version{2}});
+    ASSERT_NE(ended, nullptr);
+    EXPECT_EQ(ended->code, result_code::weight_version_mismatch);
+    EXPECT_EQ(subject_.flights(), 0U);
+}
+
+TEST_F(importer_test, block_of_other_length_than_opened_is_rejected)
+{
+    (void)sent<import_ended>(engine_version{weight_version{1}});
+    const auto* const open = sent<open_piece>(ask(1));
+    ASSERT_NE(open, nullptr);
+    const auto [flight, store, scope, id] = *open;
+    const digest content = sha256(true_bytes(id));
+    (void)sent<read_piece>(piece_opened{
+        flight,
+        {{},
+         {incarnation{1}, id, block_generation{1}},
+         pin_id{1},
+         byte_count{5},
+         content}});
+    EXPECT_NE(
+        sent<free_at_store>(piece_staged{flight, id, byte_count{4}, content}),
+        nullptr);
+}
+
 } // namespace
 } // namespace wagtailseam::kept_cache
--- a/src/sidecar/app.cpp
+++ b/src/sidecar/app.cpp
@@ -124,15 +124,11 @@
         co_await exchange.send(
             store_->handle(exchange.asked(), monotonic_clock::now()));
     }
-    else if (store_)
-    {
-        co_await refuse(exchange, result_code::unknown_route, "");
-    }
-    else if (exchange.asked().path() == "/v1/dispatch")
+    else if (!store_ && exchange.asked().path() == "/v1/dispatch")
     {
         co_await serve_dispatch(exchange);
     }
-    else if (exchange.asked().path() == "/v1/resume")
+    else if (!store_ && exchange.asked().path() == "/v1/resume")
     {
         co_await serve_resume(exchange);
     }
@@ -235,8 +231,7 @@
         engine ? co_await run_at_engine(
                      client_, settings_.upstream_address, asked, record)
                : co_await run_at_service(
-                     client_, settings_.upstream_address, std::move(asked),
-                     record);
+                     client_, settings_.upstream_address, asked, record);
     const attempt::attempt_id id = record->id();
     if (ended.code == result_code::ok)
     {
--- a/src/weights/test/rollout_test.cpp
+++ b/src/weights/test/rollout_test.cpp
@@ -410,5 +410,81 @@
     EXPECT_GE(starts[2] - starts[1], std::chrono::seconds(2));
 }
 
+/// A holder with two free slots that it owns and idle runners that are behind.
+class rollout_test : public testing::Test
+{
+protected:
+    template <class T>
+    std::vector<T> sent(const rollout_event& what)
+    {
+        std::vector<T> all;
+        for (const auto& command : subject_.handle(what, now_))
+        {
+            if (const T* const found = std::get_if<T>(&command))
+            {
+                all.push_back(*found);
+            }
+        }
+        return all;
+    }
+    static slot_written committed(
+        const write_slot& write, std::uint64_t version)
+    {
+        return {
+            write.slot, write.write,
+            platform::committed{{platform::row_version{version}}}};
+    }
+    /// Returns the writes of the first loads.
+    std::vector<write_slot> start()
+    {
+        (void)sent<write_slot>(
+            targets_changed{{{upstream_id{"a"}, setup_of(2), byte_count{1}}}});
+        (void)sent<write_slot>(lease_gained{fencing_number{3}});
+        now_ += std::chrono::seconds(1);
+        for (const write_slot& claim : sent<write_slot>(slots_read{}))
+        {
+            (void)sent<write_slot>(committed(claim, 1));
+        }
+        now_ += std::chrono::seconds(1);
+        const auto asked = sent<ask_runner>(rollout_tick{});
+        return asked.size() != 1 ? std::vector<write_slot>()
+                                 : sent<write_slot>(runner_answered{
+                                       .runner = upstream_id{"a"},
+                                       .number = asked.front().number,
+                                       .setup = setup_of(1)});
+    }
+
+    rollout subject_{{}};
+    mono_time now_{std::chrono::seconds(1)};
+};
+
+TEST_F(rollout_test, runner_takes_one_slot_only)
+{
+    const auto writes = start();
+    ASSERT_EQ(writes.size(), 1U);
+    now_ += std::chrono::seconds(1);
+    EXPECT_TRUE(sent<write_slot>(rollout_tick{}).empty());
+}
+
+TEST_F(rollout_test, late_answer_to_earlier_write_starts_no_load)
+{
+    const auto writes = start();
+    ASSERT_EQ(writes.size(), 1U);
+    slot_written late = committed(writes.front(), 2);
+    late.write -= 1;
+    EXPECT_TRUE(sent<order_runner>(late).empty());
+    EXPECT_EQ(sent<order_runner>(committed(writes.front(), 2)).size(), 1U);
+}
+
+TEST_F(rollout_test, rows_of_later_holder_end_the_rollout)
+{
+    (void)sent<read_slots>(lease_gained{fencing_number{3}});
+    (void)sent<read_slots>(slots_read{
+        {{.at = {slot_table, "0"},
+          .value = encode({fencing_number{4}, {}}),
+          .version = platform::row_version{9}}}});
+    EXPECT_FALSE(subject_.acting());
+}
+
 } // namespace
 } // namespace wagtailseam::weights
--- a/stand_ins/engine.cpp
+++ b/stand_ins/engine.cpp
@@ -151,8 +151,8 @@
     {
         const auto role = messages[i].value("role", std::string());
         const auto content = messages[i].value("content", std::string());
-        asked.prompt += role + '\n' + content + '\n';
-        rendered += '\x1e' + role + '\x1f' + content;
+        asked.prompt.append(role).append("\n").append(content).append("\n");
+        rendered.append("\x1e").append(role).append("\x1f").append(content);
     }
     if (continues)
     {
