--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -22,6 +22,8 @@
         return "last_holder";
     case candidate_reason::probed:
         return "probed";
+    case candidate_reason::short_queue:
+        return "short_queue";
     case candidate_reason::cell_member:
         return "cell_member";
     }
@@ -146,7 +148,7 @@
     }
     auto& waiting = pending_[wanted.id];
     waiting = pending_prompt{.wanted = wanted};
-    choose_probes(waiting);
+    choose_probes(waiting, now);
     ask(waiting, now, out);
 }
 
@@ -176,7 +178,7 @@
     }
 }
 
-void router::choose_probes(pending_prompt& waiting)
+void router::choose_probes(pending_prompt& waiting, mono_time now)
 {
     if (const auto held = index_.find(waiting.wanted.chain);
         held && held->slot < upstreams_.size())
@@ -187,6 +189,8 @@
     {
         add_candidate(waiting, *home, candidate_reason::home);
     }
+    add_short_queues(
+        waiting, home_of(waiting.wanted).value_or(present_.front()), now);
     for (std::size_t i = 0; i < settings_.random_probes; ++i)
     {
         add_candidate(
@@ -195,6 +199,27 @@
     }
 }
 
+void router::add_short_queues(
+    pending_prompt& waiting, upstream_slot home, mono_time now)
+{
+    const auto level = waiting.wanted.priority;
+    std::vector<std::pair<duration, upstream_slot>> queues;
+    for (const auto slot : present_)
+    {
+        if (upstreams_[slot].cell == upstreams_[home].cell)
+        {
+            queues.emplace_back(load_.queue_wait(slot, level, now), slot);
+        }
+    }
+    const auto count = std::min(settings_.short_queue_probes, queues.size());
+    const auto end = queues.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(queues.begin(), end, queues.end());
+    for (auto next = queues.begin(); next != end; ++next)
+    {
+        add_candidate(waiting, next->second, candidate_reason::short_queue);
+    }
+}
+
 void router::ask(
     const pending_prompt& waiting, mono_time now, std::vector<command>& out)
 {
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -151,6 +151,7 @@
     home,
     last_holder,
     probed,
+    short_queue,
     cell_member,
 };
 
@@ -206,7 +207,10 @@
         import_rule imports = import_rule::weighed;
         piece_shape piece;
         /// Candidates probed at random besides home and last holder.
-        std::size_t random_probes = 2;
+        std::size_t random_probes = 1;
+        /// Members of the home's cell asked because their reports show the
+        /// shortest queues.
+        std::size_t short_queue_probes = 2;
         /// Stores asked for a prefix, in rendezvous order.
         std::size_t store_probes = 2;
         /// The piece, counted from 1, whose digest names the prefix's home;
@@ -274,7 +278,9 @@
         const store_answered& answered, mono_time now,
         std::vector<command>& out);
     void settle(const request_id& id);
-    void choose_probes(pending_prompt& waiting);
+    void choose_probes(pending_prompt& waiting, mono_time now);
+    void add_short_queues(
+        pending_prompt& waiting, upstream_slot home, mono_time now);
     void add_candidate(
         pending_prompt& waiting, upstream_slot slot, candidate_reason reason);
     void follow_hint(
--- a/src/routing/test/router_test.cpp
+++ b/src/routing/test/router_test.cpp
@@ -223,6 +223,29 @@
     EXPECT_NE(record.holder, home);
 }
 
+TEST_F(router_test, shortest_queue_of_the_cell_is_asked)
+{
+    for (std::size_t i = 0; i < 5; ++i)
+    {
+        load_report made{.prefill_rate = token_rate{1000.0}};
+        made.queued[0] = token_count{i == 3 ? 0U : 5000U};
+        send(load_reported{.upstream = runner(i), .load = made});
+    }
+    for (int i = 0; i < 10; ++i)
+    {
+        const auto asked =
+            send(prompt_received{make_prompt(std::to_string(i))});
+        const bool found = std::any_of(
+            asked.begin(), asked.end(),
+            [](const command& next)
+            {
+                const auto* p = std::get_if<probe_upstream>(&next);
+                return p != nullptr && p->upstream == runner(3);
+            });
+        EXPECT_TRUE(found);
+    }
+}
+
 RC_GTEST_PROP(router_property, stale_report_never_attracts_past_the_bound, ())
 {
     router::options settings;
