Take the workspace's objective as a ratio of its weights

The weights were factors on seconds of waiting and on seconds of prefill. The wait now always counts in full, and prefill counts again by the share of its weight.

--- a/src/routing/estimate.cpp
+++ b/src/routing/estimate.cpp
@@ -36,8 +36,8 @@
         .cached_pieces = view.cached_pieces,
         .imported_pieces = imported,
         .computed_tokens = token_count{computed}};
-    made.cost = weights.first_token * duration_to_seconds(made.first_token) +
-                weights.recomputed_share * compute_seconds;
+    made.cost = duration_to_seconds(made.first_token) +
+                compute_weight(weights) * compute_seconds;
     return made;
 }
 
@@ -104,6 +104,12 @@
 
 } // namespace
 
+double compute_weight(const objective& weights) noexcept
+{
+    const auto sum = weights.first_token + weights.recomputed_share;
+    return sum > 0.0 ? weights.recomputed_share / sum : 0.0;
+}
+
 estimate best_plan(
     const prompt_shape& prompt, const compute_view& view,
     std::span<const import_source> sources, const objective& weights,
--- a/src/routing/estimate.hpp
+++ b/src/routing/estimate.hpp
@@ -65,14 +65,18 @@
     link_view disk;
 };
 
-/// What a workspace weighs; both weigh seconds.
+/// What a workspace weighs, as its questionnaire gives it; only the ratio of
+/// the two counts.
 struct objective
 {
     double first_token = 1.0;
-    /// Weight of the time that the accelerator spends on the prompt.
     double recomputed_share = 0.0;
 };
 
+/// Returns how many seconds of waiting a second of prefill is worth besides
+/// its own: from 0, when only the first token counts, to 1.
+[[nodiscard]] double compute_weight(const objective& weights) noexcept;
+
 /// Whether imports are weighed, forced or forbidden.
 enum class import_rule : std::uint8_t
 {
