Serve filings through real processes

Non-idempotent calls were refused until now. The entry runs a filing core for each, sends the writes of all in common transactions, and its attempts and tombstones go through the shells that idempotent calls use. A stopping entry records outcomes for up to 10 s.

The row's value is JSON text in ASCII instead of CBOR: the platform's protocol is JSON, in which arbitrary bytes cannot travel, and operators can read it.

The platform stand-in died when it lost an answer on purpose: g++ 12 destroys temporaries of a co_await operand twice when control passes them by. Ruled out: the exception itself, and closing the connection (a dropped connection and a request with Connection: close crashed the same way). It now computes the reply in a plain function and answers only after the client has given up.

--- a/src/entry/app.cpp
+++ b/src/entry/app.cpp
@@ -26,13 +26,15 @@
 /// The balancer sees readiness fail before connections are refused.
 constexpr std::chrono::seconds drain_notice{1};
 constexpr std::chrono::milliseconds drain_poll{20};
+/// How long a stopping entry goes on recording outcomes.
+constexpr std::chrono::seconds record_notice{10};
 
 } // namespace
 
 app::app(
     asio::io_context& context, entry_settings settings,
     identity::process_keys keys)
-    : shared_(context, std::move(settings), std::move(keys)),
+    : shared_(context, std::move(settings), std::move(keys)), filings_(shared_),
       id_prefix_(
           shared_.settings.entry.value() + "-" +
           std::to_string(runtime::random_incarnation() % 1'000'000'007) + "-"),
@@ -178,9 +180,14 @@
             std::move(call).value());
         co_return;
     }
-    const auto code = call.value().key ? result_code::filing_store_unavailable
-                                       : result_code::missing_idempotency_key;
-    co_await answer_error(exchange, id, error{code});
+    if (!call.value().key)
+    {
+        co_await answer_error(
+            exchange, id, error{result_code::missing_idempotency_key});
+        co_return;
+    }
+    co_await filings_.serve(
+        exchange, id, std::move(workspace), std::move(call).value());
 }
 
 asio::awaitable<void> app::probe_upstreams()
@@ -234,6 +241,14 @@
         timer.expires_after(drain_poll);
         co_await timer.async_wait(completion);
     }
+    // Outcomes that the table could not take yet are kept by the sidecars.
+    const auto give_up = asio::steady_timer::clock_type::now() + record_notice;
+    while (filings_.active() > 0 &&
+           asio::steady_timer::clock_type::now() < give_up)
+    {
+        timer.expires_after(drain_poll);
+        co_await timer.async_wait(completion);
+    }
     telemetry::event("stopped").with("entry", shared_.settings.entry);
     shared_.context.stop();
 }
--- a/src/entry/app.hpp
+++ b/src/entry/app.hpp
@@ -4,6 +4,7 @@
 
 #include "caller_http/answer_format.hpp"
 #include "caller_http/chat_request.hpp"
+#include "entry/filing_desk.hpp"
 #include "entry/peers.hpp"
 #include "entry/request_run.hpp"
 #include "http/server.hpp"
@@ -53,6 +54,7 @@
     [[nodiscard]] std::string explain_json(const request_id& id) const;
 
     peers shared_;
+    filing_desk filings_;
     std::string id_prefix_;
     std::uint64_t requests_ = 0;
     http::server caller_server_;
--- a/src/entry/attempt_run.cpp
+++ b/src/entry/attempt_run.cpp
@@ -1,6 +1,7 @@
 // I/O of one attempt.
 #include "entry/attempt_run.hpp"
 
+#include "entry/tombstone_call.hpp"
 #include "messages/delimited.hpp"
 #include "peer/signed_http.hpp"
 
@@ -20,28 +21,6 @@
 constexpr std::chrono::milliseconds control_timeout{300};
 constexpr unsigned status_ok = 200;
 
-attempt::tombstone_answer to_answer(const messages::tombstone_reply& reply)
-{
-    switch (reply.state())
-    {
-    case messages::tombstone_reply::never_begun:
-        return attempt::never_begun{};
-    case messages::tombstone_reply::still_running:
-        return attempt::still_running{};
-    case messages::tombstone_reply::has_finished:
-    {
-        attempt::has_finished ended;
-        if (reply.has_outcome())
-        {
-            ended.outcome = attempt::run_outcome{reply.status(), reply.body()};
-        }
-        return ended;
-    }
-    default:
-        return attempt::cannot_tell{result_code_of(reply.reason())};
-    }
-}
-
 result_code refusal_of(const http::response& answer)
 {
     messages::control_reply refusal;
@@ -321,21 +300,12 @@
 
 asio::awaitable<void> attempt_run::ask_tombstone()
 {
-    messages::control_request asked;
-    asked.set_sender(shared_.settings.entry.value());
-    asked.set_config_number(shared_.config_in_force.value());
-    auto& tombstone = *asked.mutable_tombstone();
-    tombstone.set_request(asked_.request());
-    tombstone.set_attempt(asked_.attempt());
-    tombstone.set_incarnation(asked_.incarnation());
-    tombstone.set_valid_until_us(asked_.valid_until_us());
-    const http::address to = peer::control_address(data_address());
-    const auto reply =
-        co_await shared_.control.ask(to, std::move(asked), control_timeout);
+    const auto answer = co_await send_tombstone(
+        shared_, core_.options().id, core_.options().target);
     asking_ = false;
-    if (reply && reply.value().has_tombstone())
+    if (answer)
     {
-        feed(attempt::tombstone_replied{to_answer(reply.value().tombstone())});
+        feed(attempt::tombstone_replied{*answer});
     }
 }
 
--- a/src/filing/filing_record.cpp
+++ b/src/filing/filing_record.cpp
@@ -3,7 +3,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
 #include <vector>
 
 namespace wagtailseam::filing
@@ -13,58 +12,85 @@
 
 using json = nlohmann::json;
 
-json bytes_of(std::string_view text)
-{
-    return json::binary(std::vector<std::uint8_t>(text.begin(), text.end()));
-}
+constexpr std::string_view hex_digits = "0123456789abcdef";
 
-std::string text_of(const json& value)
+bool printable(char c) noexcept
 {
-    const auto& bytes = value.get_binary();
-    return {bytes.begin(), bytes.end()};
+    return c >= ' ' && c <= '~';
 }
 
-std::string escape(std::string_view text)
+/// Writes each byte that is not printable ASCII, and each of `special`, as
+/// %XX, so that the result is printable and the text can be told from it.
+std::string escape(std::string_view text, std::string_view special)
 {
+    constexpr unsigned nibble = 4;
     std::string escaped;
     for (const char c : text)
     {
-        if (c == '/')
-        {
-            escaped += "%2F";
-        }
-        else if (c == '%')
-        {
-            escaped += "%25";
-        }
-        else
+        if (printable(c) && special.find(c) == std::string_view::npos)
         {
             escaped += c;
+            continue;
         }
+        const auto byte = static_cast<unsigned char>(c);
+        escaped += '%';
+        escaped += hex_digits[byte >> nibble];
+        escaped += hex_digits[byte & 0xFU];
     }
     return escaped;
 }
 
+std::string escape(std::string_view text)
+{
+    return escape(text, "%");
+}
+
+/// Undoes escape(). Text that escape() did not make gives other text.
+std::string unescape(const std::string& text)
+{
+    constexpr unsigned nibble = 4;
+    constexpr std::size_t escape_length = 3;
+    std::string plain;
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        if (text[i] != '%' || i + escape_length > text.size())
+        {
+            plain += text[i];
+            continue;
+        }
+        const auto high = hex_digits.find(text[i + 1]);
+        const auto low = hex_digits.find(text[i + 2]);
+        plain += static_cast<char>((high << nibble) | (low & 0xFU));
+        i += escape_length - 1;
+    }
+    return plain;
+}
+
+std::string text_of(const json& value)
+{
+    return unescape(value.get_ref<const std::string&>());
+}
+
 json to_json(const filing_record& record)
 {
     json value{
-        {"digest", bytes_of(record.request_digest.view())},
-        {"nonce", bytes_of(record.nonce.value())},
-        {"entry", bytes_of(record.entry.value())},
-        {"request", bytes_of(record.attempt.request.value())},
+        {"digest", record.request_digest.hex()},
+        {"nonce", escape(record.nonce.value())},
+        {"entry", escape(record.entry.value())},
+        {"request", escape(record.attempt.request.value())},
         {"attempt", record.attempt.number.value()},
-        {"upstream", bytes_of(record.target.upstream.value())},
+        {"upstream", escape(record.target.upstream.value())},
         {"life", record.target.life.value()},
         {"valid_until", record.target.valid_until.time_since_epoch().count()},
         {"state", static_cast<std::uint8_t>(record.state)},
         {"config", record.config.value()},
         {"reason", static_cast<std::uint16_t>(record.reason)},
         {"changed_at", record.changed_at.time_since_epoch().count()},
-        {"resolved_by", bytes_of(record.resolved_by)}};
+        {"resolved_by", escape(record.resolved_by)}};
     if (record.outcome)
     {
         value["status"] = record.outcome->status;
-        value["body"] = bytes_of(record.outcome->body);
+        value["body"] = escape(record.outcome->body);
     }
     return value;
 }
@@ -73,7 +99,7 @@
 {
     using rep = duration::rep;
     filing_record record;
-    record.request_digest = digest::from_bytes(text_of(value.at("digest")));
+    record.request_digest = digest::from_hex(text_of(value.at("digest")));
     record.nonce = claim_nonce{text_of(value.at("nonce"))};
     record.entry = entry_id{text_of(value.at("entry"))};
     record.attempt.request = request_id{text_of(value.at("request"))};
@@ -112,13 +138,12 @@
 {
     return {
         std::string(filing_table),
-        escape(workspace.value()) + "/" + key.value()};
+        escape(workspace.value(), "%/") + "/" + escape(key.value())};
 }
 
 std::string encode(const filing_record& record)
 {
-    const std::vector<std::uint8_t> bytes = json::to_cbor(to_json(record));
-    return {bytes.begin(), bytes.end()};
+    return to_json(record).dump();
 }
 
 result<filing_record> decode(std::string_view bytes)
@@ -126,7 +151,7 @@
     // The library reports malformed input and absent fields by exceptions.
     try
     {
-        filing_record record = from_json(json::from_cbor(bytes));
+        filing_record record = from_json(json::parse(bytes));
         if (consistent(record))
         {
             return record;
--- a/src/filing/filing_record.hpp
+++ b/src/filing/filing_record.hpp
@@ -61,7 +61,7 @@
 [[nodiscard]] platform::row_key filing_row(
     const workspace_id& workspace, const idempotency_key& key);
 
-/// Encodes a record as CBOR.
+/// Encodes a record as JSON text in ASCII, which operators can read.
 [[nodiscard]] std::string encode(const filing_record& record);
 
 /// Decodes a record. @return malformed_message when the bytes are not one
--- a/stand_ins/platform.cpp
+++ b/stand_ins/platform.cpp
@@ -20,6 +20,8 @@
 using namespace wagtailseam;
 using nlohmann::json;
 
+/// A client has given up on its write long before.
+constexpr std::chrono::milliseconds lost_answer_delay{2'000};
 constexpr std::string_view object_root = "/v1/objects/";
 
 /// Faults in force; each a probability within [0, 1] or a time.
@@ -27,7 +29,7 @@
 {
     /// Refuses everything with 503.
     bool down = false;
-    /// Applies a write and then closes the connection unanswered.
+    /// Applies a write and answers only when nobody waits any more.
     double lose_answer = 0;
     double refuse = 0;
     std::chrono::milliseconds delay{0};
@@ -123,33 +125,35 @@
     }
 
     asio::awaitable<void> serve_transaction(http::exchange& exchange)
+    {
+        ++writes_;
+        unsigned status = 200;
+        std::string text = transact(exchange.asked(), status);
+        const bool lost = random_.unit() < faults_.lose_answer;
+        asio::steady_timer timer(
+            context_, lost ? lost_answer_delay : std::chrono::milliseconds(0));
+        co_await timer.async_wait(asio::use_awaitable);
+        co_await stand_ins::send_json(exchange, std::move(text), status);
+    }
+
+    std::string transact(const http::request& request, unsigned& status)
     {
         constexpr unsigned bad_request = 400;
         constexpr unsigned conflict = 409;
-        ++writes_;
-        auto asked = platform::transaction_from_json(
-            json::parse(exchange.asked().body, nullptr, false));
+        const auto asked = platform::transaction_from_json(
+            json::parse(request.body, nullptr, false));
         if (!asked)
         {
-            co_await stand_ins::send_json(exchange, "{}", bad_request);
-            co_return;
+            status = bad_request;
+            return "{}";
         }
         const auto answer = table_.apply(asked.value());
-        if (random_.unit() < faults_.lose_answer)
-        {
-            // Ends the connection without an answer.
-            throw std::runtime_error("answer lost on purpose");
-        }
         if (const auto* const done = std::get_if<platform::committed>(&answer))
         {
-            co_await stand_ins::send_json(
-                exchange, platform::to_json(*done).dump());
-            co_return;
+            return platform::to_json(*done).dump();
         }
-        co_await stand_ins::send_json(
-            exchange,
-            platform::to_json(std::get<platform::conflicted>(answer)).dump(),
-            conflict);
+        status = conflict;
+        return platform::to_json(std::get<platform::conflicted>(answer)).dump();
     }
 
     std::string read(const http::request& asked) const
