Refuse a run whose weights were swapped while its pieces came

The gate had admitted the dispatch before the import, so a swap meanwhile let it run on the new weights. The version is checked again before anything is sent; with that check taken out the new test fails. Each fault of the integration test has its own deployment now: a block freed by one fault and exported again had made the next one's count of blocks miss its mark (seen once under load).

--- a/src/sidecar/app.cpp
+++ b/src/sidecar/app.cpp
@@ -227,6 +227,16 @@
     {
         co_await kept_cache_.bring(asked);
     }
+    const weight_version planned{asked.weight_version()};
+    if (engine && monitor_.report().version != planned)
+    {
+        // The weights were swapped while pieces came; nothing was sent yet.
+        record->refuse(result_code::weight_version_mismatch);
+        record->end({});
+        (void)gate_.handle(attempt::run_lost{record->id()}, now());
+        records_.erase(record->id());
+        co_return;
+    }
     const run_end ended =
         engine ? co_await run_at_engine(
                      client_, settings_.upstream_address, asked, record)
--- a/stand_ins/engine.cpp
+++ b/stand_ins/engine.cpp
@@ -189,7 +189,7 @@
                 {"prefill_rate",
                  1'000'000 / std::max(1, prefill_us_per_token_)},
                 {"model", absl::GetFlag(FLAGS_model)},
-                {"weight_version", absl::GetFlag(FLAGS_weight_version)}};
+                {"weight_version", weight_version_}};
             co_await stand_ins::send_json(exchange, load.dump());
         }
         else if (path == "/control/counts")
@@ -201,6 +201,13 @@
                 {"unsound", unsound_}};
             co_await stand_ins::send_json(exchange, counts.dump());
         }
+        else if (path == "/control/next-version")
+        {
+            // A swap: blocks of the version before are gone.
+            ++weight_version_;
+            cache_.clear();
+            co_await stand_ins::send_json(exchange, "{}");
+        }
         else if (path == "/control/clear-cache")
         {
             cache_.clear();
@@ -240,7 +247,7 @@
             co_return;
         }
         const std::string version =
-            "&version=" + std::to_string(absl::GetFlag(FLAGS_weight_version));
+            "&version=" + std::to_string(weight_version_);
         const std::size_t at = asked.target.find("id=");
         if (at == std::string::npos || !asked.target.ends_with(version))
         {
@@ -364,6 +371,7 @@
     prefix_cache cache_;
     int prefill_us_per_token_ = absl::GetFlag(FLAGS_prefill_us_per_token);
     int token_interval_us_ = absl::GetFlag(FLAGS_token_interval_us);
+    std::uint64_t weight_version_ = absl::GetFlag(FLAGS_weight_version);
     std::size_t running_ = 0;
     std::size_t queued_tokens_ = 0;
     std::uint64_t completions_ = 0;
--- a/tests/integration/kept_cache_test.py
+++ b/tests/integration/kept_cache_test.py
@@ -136,20 +136,23 @@
         self.keep(messages)
         self.assertEqual(self.ask(messages, "ward-2"), 0)
 
-    def test_faulty_blocks_cost_recompute_and_are_counted(self):
-        for fault, reason in (("corrupt", "block_digest_mismatch"),
-                              ("truncate", "store_lost"),
-                              ("late", "import_abandoned")):
-            with self.subTest(fault=fault):
-                messages = messages_of(fault)
-                self.keep(messages)
-                before = self.imports_ended(reason)
-                self.fleet.link.fault = fault
-                imported = self.ask(messages)
-                self.fleet.link.fault = None
-                self.assertLess(imported, PIECES * PIECE_TOKENS)
-                self.assertGreater(self.imports_ended(reason), before)
-                self.check_sound()
+    def check_fault(self, fault, reason):
+        messages = messages_of(fault)
+        self.keep(messages)
+        self.fleet.link.fault = fault
+        imported = self.ask(messages)
+        self.assertLess(imported, PIECES * PIECE_TOKENS)
+        self.assertGreater(self.imports_ended(reason), 0)
+        self.check_sound()
+
+    def test_corrupt_block_costs_recompute_and_is_counted(self):
+        self.check_fault("corrupt", "block_digest_mismatch")
+
+    def test_truncated_block_costs_recompute_and_is_counted(self):
+        self.check_fault("truncate", "store_lost")
+
+    def test_late_block_costs_recompute_and_is_counted(self):
+        self.check_fault("late", "import_abandoned")
 
     def test_killed_store_costs_recompute_only(self):
         messages = messages_of("killed")
@@ -164,6 +167,25 @@
         cluster.wait_until(
             lambda: self.kept_blocks() == PIECES, "exported again")
 
+    def completions(self):
+        _, _, text = cluster.call(
+            self.engine["upstream"], "GET", "/control/counts")
+        return json.loads(text)["completions"]
+
+    def test_swap_while_pieces_come_is_refused_as_not_run(self):
+        messages = messages_of("swapped")
+        self.keep(messages)
+        before = self.completions()
+        self.fleet.link.fault = "late"
+        swap = threading.Timer(0.3, cluster.call, (
+            self.engine["upstream"], "POST", "/control/next-version"))
+        swap.start()
+        got = self.fleet.chat(0, "ward-1", messages, max_tokens=8)
+        swap.join()
+        self.assertFalse(got["done"])
+        self.assertIn("not_run", json.dumps(got["error"]))
+        self.assertEqual(self.completions(), before)
+
     def store_answers(self):
         try:
             return self.kept_blocks() == 0
