Spread accepted configurations through entries and sidecars

wagtailctl generates, compares, accepts, rolls back and shows what each process has in force; entries read the head, sidecars learn numbers from the messages of entries and fetch from them. A dispatch waits for a side that is behind, and an entry refused for its number catches up before the next attempt.

--- a/programs/programs.cmake
+++ b/programs/programs.cmake
@@ -5,3 +5,9 @@
 wagtail_program(wagtail-load SOURCES programs/wagtail_load.cpp
     DEPENDS wagtail_model absl::flags absl::flags_parse absl::flags_usage
         Threads::Threads)
+wagtail_program(wagtailctl
+    SOURCES programs/wagtailctl.cpp programs/wagtailctl_questionnaire.cpp
+        programs/wagtailctl_acceptance.cpp programs/wagtailctl_status.cpp
+    DEPENDS wagtail_questionnaire wagtail_platform wagtail_runtime
+        absl::flags absl::flags_parse absl::flags_usage absl::strings
+        Threads::Threads)
--- a/programs/wagtail_entry.cpp
+++ b/programs/wagtail_entry.cpp
@@ -34,7 +34,7 @@
     if (!configuration_file.empty())
     {
         app->configure(
-            config_number{1},
+            config_number{0},
             value_or_throw(configuration::parse_configuration(
                 value_or_throw(runtime::read_file(configuration_file)))));
     }
--- a/src/configuration/spread_core.hpp
+++ b/src/configuration/spread_core.hpp
@@ -216,6 +216,13 @@
     /// Whether work may be taken.
     [[nodiscard]] bool ready() const noexcept { return ready_; }
 
+    /// Whether the platform said that no configuration was ever accepted.
+    [[nodiscard]] bool none_accepted() const noexcept
+    {
+        return head_confirmed_ && newest_number() == config_number{} &&
+               head_number_ == config_number{};
+    }
+
     /// Compares the number that a dispatch carries with the one in force.
     [[nodiscard]] dispatch_check check_dispatch(
         config_number senders) const noexcept;
--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -27,7 +27,7 @@
     }
     else if (path == "/readyz")
     {
-        const bool ready = shared_.config && !shared_.draining;
+        const bool ready = shared_.configured() && !shared_.draining;
         answer.status = ready ? 200 : status_unavailable;
         answer.body = ready ? "ready\n" : "not ready\n";
     }
@@ -89,6 +89,7 @@
     const json status{
         {"entry", shared_.settings.entry.value()},
         {"config_number", shared_.config_in_force.value()},
+        {"config_ready", shared_.configured()},
         {"draining", shared_.draining},
         {"active", caller_server_.active()},
         {"upstreams", std::move(upstreams)}};
@@ -116,10 +117,14 @@
     messages::control_request asked)
 {
     messages::control_reply reply;
-    reply.set_config_number(shared_.config_in_force.value());
+    shared_.spread->saw(asked.config_number(), asked.sender_address());
+    if (shared_.spread->answer(asked, reply))
+    {
+        co_return reply;
+    }
+    shared_.spread->stamp(reply);
     reply.set_code(static_cast<std::uint32_t>(result_code::malformed_message));
     reply.set_detail("an entry does not answer this message");
-    (void)asked;
     co_return reply;
 }
 
--- a/src/entry/app.cpp
+++ b/src/entry/app.cpp
@@ -50,6 +50,17 @@
           [this](messages::control_request asked)
           { return answer_control(std::move(asked)); })
 {
+    shared_.spread = std::make_unique<spread::runner>(
+        context, shared_.control, shared_.platform, shared_.metrics,
+        spread::runner_options{
+            .polls_head = true,
+            .self = shared_.settings.control_listen,
+            .peers = shared_.settings.configuration_peers,
+            .seed = shared_.random.bits(),
+            .apply =
+                [this](config_number number, configuration::configuration made)
+            { configure(number, std::move(made)); }});
+    shared_.spread->start();
     asio::co_spawn(context, probe_upstreams(), asio::detached);
     telemetry::event("started")
         .with("entry", shared_.settings.entry)
@@ -105,7 +116,7 @@
         co_return;
     }
     const request_id id = next_request_id();
-    if (shared_.draining || !shared_.config)
+    if (shared_.draining || !shared_.configured())
     {
         const auto code =
             shared_.draining ? result_code::draining : result_code::not_ready;
@@ -211,15 +222,17 @@
 {
     messages::control_request asked;
     asked.set_sender(shared_.settings.entry.value());
-    asked.set_config_number(shared_.config_in_force.value());
+    shared_.spread->stamp(asked);
     asked.mutable_probe();
-    const auto reply = co_await shared_.control.ask(
-        peer::control_address(sidecar), std::move(asked), probe_timeout);
+    const http::address to = peer::control_address(sidecar);
+    const auto reply =
+        co_await shared_.control.ask(to, std::move(asked), probe_timeout);
     if (!reply)
     {
         shared_.metrics.count("wagtail_probes_failed_total");
         co_return;
     }
+    shared_.spread->saw(reply.value().config_number(), to.value());
     shared_.upstreams.record_reply(
         upstream, reply.value().probe(), monotonic_clock::now());
 }
--- a/src/entry/attempt_run.cpp
+++ b/src/entry/attempt_run.cpp
@@ -21,11 +21,15 @@
 constexpr std::chrono::milliseconds control_timeout{300};
 constexpr unsigned status_ok = 200;
 
-result_code refusal_of(const http::response& answer)
+messages::control_reply refusal_of(const http::response& answer)
 {
     messages::control_reply refusal;
-    return refusal.ParseFromString(answer.body) ? result_code_of(refusal.code())
-                                                : result_code::outcome_unknown;
+    if (!refusal.ParseFromString(answer.body))
+    {
+        refusal.set_code(
+            static_cast<std::uint32_t>(result_code::outcome_unknown));
+    }
+    return refusal;
 }
 
 /// Reads a short body, such as a refusal's.
@@ -60,6 +64,7 @@
         wanted.target.valid_until.time_since_epoch().count());
     asked_.set_idempotent(wanted.idempotent);
     asked_.set_entry(shared.settings.entry.value());
+    asked_.set_entry_address(shared.settings.control_listen.value());
 }
 
 asio::awaitable<attempt::judgement> attempt_run::run()
@@ -185,7 +190,16 @@
     if (opened.value().head().status != status_ok)
     {
         const auto answer = co_await read_rest(std::move(opened).value());
-        feed(attempt::dispatch_refused{refusal_of(answer)});
+        const auto refusal = refusal_of(answer);
+        const auto code = result_code_of(refusal.code());
+        if (code == result_code::stale_configuration)
+        {
+            // Catches up first, so that the next attempt is not refused too.
+            (void)co_await shared_.spread->match(
+                refusal.config_number(), peer::control_address(to).value(),
+                control_timeout);
+        }
+        feed(attempt::dispatch_refused{code});
         co_return;
     }
     feed(attempt::dispatch_accepted{});
--- a/src/entry/peers.cpp
+++ b/src/entry/peers.cpp
@@ -15,6 +15,11 @@
 {
 }
 
+bool peers::configured() const
+{
+    return config && (spread->ready() || spread->none_accepted());
+}
+
 void peers::explain(const request_id& request, std::string text)
 {
     explained.add(request, monotonic_clock::now(), std::move(text));
--- a/src/entry/peers.hpp
+++ b/src/entry/peers.hpp
@@ -10,11 +10,13 @@
 #include "identity/process_keys.hpp"
 #include "peer/peer.hpp"
 #include "platform/client.hpp"
+#include "spread/runner.hpp"
 #include "telemetry/counters.hpp"
 
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <random>
 
 namespace wagtailseam::entry
@@ -43,8 +45,13 @@
     /// The configuration in force; null until there is one.
     std::shared_ptr<const configuration::configuration> config;
     config_number config_in_force;
+    /// Learns of accepted configurations; set by the app.
+    std::unique_ptr<spread::runner> spread;
     bool draining = false;
 
+    /// Whether requests may be taken under the configuration in force.
+    [[nodiscard]] bool configured() const;
+
     /// Adds a decision for /explain and the log.
     void explain(const request_id& request, std::string text);
 };
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -1,6 +1,8 @@
 // Schema of the entry's settings file.
 #include "entry/settings.hpp"
 
+#include "spread/runner.hpp"
+
 namespace wagtailseam::entry
 {
 namespace
@@ -42,8 +44,13 @@
          {.name = "configuration_file",
           .rule = text_rule{},
           .fallback = "",
-          .description = "Configuration to start with before the platform's "
-                         "was read; may be empty."},
+          .description = "Configuration to use, as number 0, until the first "
+                         "is accepted; may be empty."},
+         {.name = "configuration_peers",
+          .rule = settings::list_of(address, 0, 8),
+          .fallback = nlohmann::json::array(),
+          .description = "Control addresses of a few other entries, at best "
+                         "in other data centres; the relation is mutual."},
          {.name = "log_level",
           .rule = text_rule{.one_of = {"debug", "info", "warn", "error"}},
           .fallback = "info",
@@ -71,7 +78,9 @@
         .control_listen = http::address{text("control_listen")},
         .platform = http::address{text("platform")},
         .process_key_file = text("process_key_file"),
-        .configuration_file = text("configuration_file")};
+        .configuration_file = text("configuration_file"),
+        .configuration_peers =
+            spread::addresses_from(value["configuration_peers"])};
 }
 
 } // namespace wagtailseam::entry
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -7,6 +7,7 @@
 #include "settings/schema.hpp"
 
 #include <string>
+#include <vector>
 
 namespace wagtailseam::entry
 {
@@ -22,8 +23,11 @@
     http::address control_listen;
     http::address platform;
     std::string process_key_file;
-    /// Configuration to start with; empty: only the platform's is used.
+    /// Configuration to use until one is accepted; empty: none.
     std::string configuration_file;
+    /// Control addresses of the processes that this one asks for the
+    /// configuration at its start, and that keep what it has in force.
+    std::vector<http::address> configuration_peers;
 };
 
 /// Returns the schema of the settings file.
--- a/src/questionnaire/difference.cpp
+++ b/src/questionnaire/difference.cpp
@@ -177,6 +177,20 @@
     return made;
 }
 
+json to_json(const std::vector<change>& changes)
+{
+    json list = json::array();
+    for (const change& each : changes)
+    {
+        list.push_back(
+            {{"subject", each.subject},
+             {"before", each.before},
+             {"after", each.after},
+             {"effect", each.effect}});
+    }
+    return {{"changes", std::move(list)}};
+}
+
 std::string describe(const std::vector<change>& changes)
 {
     if (changes.empty())
--- a/src/questionnaire/difference.hpp
+++ b/src/questionnaire/difference.hpp
@@ -32,6 +32,9 @@
 [[nodiscard]] std::vector<change> difference(
     const nlohmann::json& before, const nlohmann::json& after);
 
+/// Returns the changes as a list of objects.
+[[nodiscard]] nlohmann::json to_json(const std::vector<change>& changes);
+
 /// Returns a line for each change, `no change` when there is none.
 [[nodiscard]] std::string describe(const std::vector<change>& changes);
 
--- a/src/sidecar/app.cpp
+++ b/src/sidecar/app.cpp
@@ -27,6 +27,8 @@
 constexpr std::chrono::seconds drain_notice{1};
 constexpr std::chrono::milliseconds drain_poll{50};
 constexpr std::chrono::seconds store_tick_interval{1};
+/// How long a dispatch waits for this process to catch up.
+constexpr std::chrono::milliseconds catch_up_timeout{300};
 constexpr unsigned status_refused = 409;
 constexpr unsigned status_gone = 410;
 
@@ -48,11 +50,19 @@
     : context_(context), settings_(std::move(settings)), keys_(std::move(keys)),
       client_(context.get_executor()),
       platform_(context.get_executor(), {.platform = settings_.platform}),
+      control_client_(context.get_executor(), keys_, traffic_),
       gate_(attempt::dispatch_gate_options{
           .life = incarnation{runtime::random_incarnation()}}),
       monitor_(client_, settings_.upstream_address),
       kept_cache_(
           context, client_, keys_, metrics_, settings_.upstream_address),
+      spread_(
+          context, control_client_, platform_, metrics_,
+          {.self = peer::control_address(settings_.listen),
+           .peers = settings_.configuration_peers,
+           .seed = runtime::random_incarnation(),
+           .apply = [this](config_number number, const auto&)
+           { configure(number); }}),
       data_server_(
           context.get_executor(), {.listen = settings_.listen},
           [this](http::exchange& exchange) { return serve_data(exchange); }),
@@ -83,6 +93,7 @@
         };
         asio::co_spawn(context_, monitor_.run(version_changed), asio::detached);
     }
+    spread_.start();
     telemetry::event("started")
         .with("upstream", settings_.upstream)
         .with("incarnation", gate_.life())
@@ -102,6 +113,11 @@
     return found == records_.end() ? nullptr : found->second;
 }
 
+void app::configure(config_number number)
+{
+    (void)gate_.handle(attempt::config_learned{number}, now());
+}
+
 void app::count_refusal(result_code code, const attempt::attempt_id& id)
 {
     metrics_.count_refusal(code);
@@ -161,6 +177,14 @@
         co_return;
     }
     const attempt::attempt_id id = id_of(asked);
+    const auto matched = co_await spread_.match(
+        asked.config_number(), asked.entry_address(), catch_up_timeout);
+    if (!matched)
+    {
+        count_refusal(matched.error().code, id);
+        co_await refuse(exchange, matched.error().code, matched.error().detail);
+        co_return;
+    }
     const attempt::dispatch_arrived arrived{
         .attempt = id,
         .life = incarnation{asked.incarnation()},
--- a/src/sidecar/app.hpp
+++ b/src/sidecar/app.hpp
@@ -14,6 +14,7 @@
 #include "sidecar/settings.hpp"
 #include "sidecar/store_service.hpp"
 #include "sidecar/upstream_monitor.hpp"
+#include "spread/runner.hpp"
 #include "telemetry/counters.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -67,6 +68,7 @@
     [[nodiscard]] std::shared_ptr<attempt_record> find(
         const attempt::attempt_id& id) const;
     std::shared_ptr<attempt_record> begin(const messages::dispatch& asked);
+    void configure(config_number number);
     void count_refusal(result_code code, const attempt::attempt_id& id);
     [[nodiscard]] attempt::sidecar_time now() const;
     [[nodiscard]] std::string status_json() const;
@@ -78,6 +80,7 @@
     peer::traffic traffic_;
     http::client client_;
     platform::client platform_;
+    peer::control_client control_client_;
     attempt::dispatch_gate gate_;
     upstream_monitor monitor_;
     kept_cache_agent kept_cache_;
@@ -85,6 +88,7 @@
     std::unique_ptr<store_service> store_;
     /// Attempts that began and whose frames are still kept.
     std::map<attempt::attempt_id, std::shared_ptr<attempt_record>> records_;
+    spread::runner spread_;
     http::server data_server_;
     http::server admin_server_;
     peer::control_server control_server_;
--- a/src/sidecar/control.cpp
+++ b/src/sidecar/control.cpp
@@ -43,12 +43,8 @@
     messages::control_request asked)
 {
     messages::control_reply reply;
-    const config_number theirs{asked.config_number()};
-    if (theirs > gate_.config())
-    {
-        (void)gate_.handle(attempt::config_learned{theirs}, now());
-    }
-    reply.set_config_number(gate_.config().value());
+    spread_.saw(asked.config_number(), asked.sender_address());
+    spread_.stamp(reply);
     switch (asked.kind_case())
     {
     case kind::kProbe:
@@ -61,8 +57,11 @@
         *reply.mutable_cancel() = answer_cancel(asked.cancel());
         break;
     default:
-        reply.set_code(
-            static_cast<std::uint32_t>(result_code::malformed_message));
+        if (!spread_.answer(asked, reply))
+        {
+            reply.set_code(
+                static_cast<std::uint32_t>(result_code::malformed_message));
+        }
         break;
     }
     co_return reply;
@@ -132,7 +131,8 @@
         {"upstream", settings_.upstream.value()},
         {"role", name(settings_.role)},
         {"incarnation", gate_.life().value()},
-        {"config_number", gate_.config().value()},
+        {"config_number", spread_.in_force().value()},
+        {"config_ready", spread_.ready()},
         {"draining", gate_.draining()},
         {"upstream_ready", ready()},
         {"running", gate_.running()},
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -1,6 +1,8 @@
 // Schema of the sidecar's settings file.
 #include "sidecar/settings.hpp"
 
+#include "spread/runner.hpp"
+
 namespace wagtailseam::sidecar
 {
 namespace
@@ -49,6 +51,11 @@
           .rule = settings::whole_rule{.min = 1, .max = 1'000'000},
           .fallback = 1024,
           .description = "Memory for kept blocks, for the role store."},
+         {.name = "configuration_peers",
+          .rule = settings::list_of(address, 0, 8),
+          .fallback = nlohmann::json::array(),
+          .description = "Control addresses of a few entries, at best in "
+                         "different data centres."},
          {.name = "log_level",
           .rule = text_rule{.one_of = {"debug", "info", "warn", "error"}},
           .fallback = "info",
@@ -77,8 +84,11 @@
         .upstream_address = http::address{text("upstream_address")},
         .platform = http::address{text("platform")},
         .process_key_file = text("process_key_file"),
-        .store_memory = byte_count{
-            value["store_memory_mb"].get<std::uint64_t>() * bytes_per_mb}};
+        .store_memory =
+            byte_count{
+                value["store_memory_mb"].get<std::uint64_t>() * bytes_per_mb},
+        .configuration_peers =
+            spread::addresses_from(value["configuration_peers"])};
 }
 
 } // namespace wagtailseam::sidecar
--- a/src/sidecar/settings.hpp
+++ b/src/sidecar/settings.hpp
@@ -8,6 +8,7 @@
 #include "settings/schema.hpp"
 
 #include <string>
+#include <vector>
 
 namespace wagtailseam::sidecar
 {
@@ -26,6 +27,9 @@
     std::string process_key_file;
     /// Memory for kept blocks; stores only.
     byte_count store_memory;
+    /// Control addresses of entries that this process asks for the
+    /// configuration at its start.
+    std::vector<http::address> configuration_peers;
 };
 
 /// Returns the schema of the settings file.
