--- a/tests/integration/configuration_test.py
+++ b/tests/integration/configuration_test.py
@@ -165,8 +165,15 @@
 
     def in_force(self, number, what):
         began = time.monotonic()
-        cluster.wait_until(lambda: self.fleet.all_have(number), what,
-                           IN_FORCE_TIMEOUT_S)
+        try:
+            cluster.wait_until(lambda: self.fleet.all_have(number), what,
+                               IN_FORCE_TIMEOUT_S)
+        except TimeoutError:
+            self.fail(f"{what}: number {number} is not in force at " + str(
+                {name: (self.fleet.number(name),
+                        self.fleet.processes[name].running())
+                 for name in self.fleet.admins
+                 if self.fleet.number(name) != number}))
         return time.monotonic() - began
 
     def accepted(self):
