Wire cells: sidecars gossip, entries ask one member of each cell

The probes from every entry to every sidecar are gone. Entries merge the rows that a cell's member answers with, so that a member which has just started and knows only itself does not empty the view. The validity of a dispatch is the sidecar's clock from its row, moved on by the time since.

--- a/programs/wagtail_sidecar.cpp
+++ b/programs/wagtail_sidecar.cpp
@@ -20,8 +20,20 @@
         {
             throw std::runtime_error(keys.error().detail);
         }
+        const std::string configuration_file = settings.configuration_file;
         app = std::make_unique<sidecar::app>(
             context, std::move(settings), std::move(keys).value());
+        if (!configuration_file.empty())
+        {
+            const auto bytes = runtime::read_file(configuration_file);
+            const auto read = configuration::parse_configuration(
+                bytes ? bytes.value() : std::string());
+            if (!read)
+            {
+                throw std::runtime_error(read.error().detail);
+            }
+            app->configure(config_number{}, read.value());
+        }
         runtime::on_stop_signal(context, [] { app->drain(); });
     };
     return runtime::run_daemon(
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -111,14 +111,15 @@
 
 
 def sweep_rows(quick):
-    seconds = 5 if quick else 10
-    sizes = (3, 10) if quick else (10, 30, 100)
-    rows = [measure("upstreams", n, 1, n, seconds) for n in sizes]
-    entries = (1, 3) if quick else (1, 3, 10, 30)
+    seconds = 5 if quick else 15
+    sizes = (3, 10) if quick else (10, 30, 64, 100)
+    # All upstreams are one cell here, so the size is that of a cell.
+    rows = [measure("cell", n, 1, n, seconds) for n in sizes]
+    entries = (1, 3) if quick else (1, 10, 30, 90)
     rows += [measure("entries", n, n, 10, seconds) for n in entries]
     loads = (10, 50) if quick else (50, 100, 200)
     rows += [measure("requests", n, 1, 10, seconds, (n, 8)) for n in loads]
-    tokens = (10, 50) if quick else (10, 100, 400)
+    tokens = (10, 50) if quick else (10, 200, 400)
     rows += [measure("tokens", n * 20, 1, 10, seconds, (20, n))
              for n in tokens]
     return rows
@@ -155,7 +156,9 @@
                          default=cluster.ROOT / "docs" / "capacity.json")
     asked = options.parse_args()
     rows = sweep_rows(asked.quick)
-    data = {"rows": rows, "slopes": fit_all(rows)}
+    heartbeat_s = cluster.HEARTBEAT_MS / 1000
+    data = {"timing": {"gossip_s": heartbeat_s, "question_s": 2 * heartbeat_s},
+            "rows": rows, "slopes": fit_all(rows)}
     pathlib.Path(asked.json).write_text(json.dumps(data, indent=1) + "\n")
     if not asked.quick:
         capacity_page.rewrite(data)
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -17,6 +18,7 @@
 BIN = pathlib.Path(
     os.environ.get("WAGTAIL_BIN", ROOT / "build" / "release" / "bin"))
 KEY = "demonstration-process-key-1"
+HEARTBEAT_MS = 250
 MODEL = "entitlement-reader"
 SERVICE = "coupon-ledger"
 START_TIMEOUT_S = 30
@@ -36,22 +38,23 @@
         sha256_hex(f"{seed}:{i}")[:5] + " " for i in range(first, tokens))
 
 
+# Below the range from which the kernel takes ports of outgoing connections.
+FIRST_PORT, LAST_PORT = 12_000, 32_000
+
+
 def free_ports(count):
     """Returns runs of two free ports, a data port and the control port."""
     ports, held = [], []
     while len(ports) < count:
-        first = socket.socket()
-        first.bind(("127.0.0.1", 0))
-        port = first.getsockname()[1]
-        second = socket.socket()
+        port = random.randrange(FIRST_PORT, LAST_PORT, 2)
+        pair = [socket.socket(), socket.socket()]
         try:
-            second.bind(("127.0.0.1", port + 1))
-        except (OSError, OverflowError):
-            first.close()
-            second.close()
-            continue
-        held += [first, second]
-        ports.append(port)
+            pair[0].bind(("127.0.0.1", port))
+            pair[1].bind(("127.0.0.1", port + 1))
+            ports.append(port)
+        except OSError:
+            pass
+        held += pair
     for each in held:
         each.close()
     return ports
@@ -136,12 +139,14 @@
         (self.folder / "process.key").write_text(KEY + "\n")
         self._start_platform()
         for i in range(engines):
-            self._start_upstream(f"engine-{i + 1}", "engine", engine_flags)
+            self._plan_upstream(f"engine-{i + 1}", "engine", engine_flags)
         for i in range(services):
-            self._start_upstream(f"ledger-{i + 1}", "service", service_flags)
+            self._plan_upstream(f"ledger-{i + 1}", "service", service_flags)
         for i in range(stores):
-            self._start_upstream(f"store-{i + 1}", "store", ())
+            self._plan_upstream(f"store-{i + 1}", "store", ())
         self._write_configuration()
+        for spec in self.upstreams:
+            self._start_upstream(spec)
         for i in range(entries):
             self._start_entry(f"entry-{i + 1}")
 
@@ -169,34 +174,39 @@
         self._run("platform", BIN / "platform_stand_in",
                   f"--listen={self.platform}")
 
-    def _start_upstream(self, name, kind, flags):
+    def _plan_upstream(self, name, kind, flags):
         data, upstream, admin = free_ports(3)
         spec = {"id": name, "kind": kind, "data": f"127.0.0.1:{data}",
                 "upstream": f"127.0.0.1:{upstream}",
                 "admin": f"127.0.0.1:{admin}", "flags": list(flags)}
+        if self.proxied:
+            data, control = free_ports(2)
+            spec["proxy"] = f"127.0.0.1:{data}"
+            spec["proxy_control"] = f"127.0.0.1:{control}"
         self.upstreams.append(spec)
+
+    def _start_upstream(self, spec):
+        name, kind = spec["id"], spec["kind"]
         if kind != "store":
             self._run(name, BIN / f"{kind}_stand_in",
-                      f"--listen={spec['upstream']}", *flags)
+                      f"--listen={spec['upstream']}", *spec["flags"])
         path = self._settings(f"sidecar-{name}", {
             "upstream": name, "role": kind, "vm": f"vm-{name}",
             "data_centre": "ayyanthole", "listen": spec["data"],
             "admin_listen": spec["admin"],
             "upstream_address": spec["upstream"], "platform": self.platform,
-            "process_key_file": str(self.folder / "process.key")})
+            "process_key_file": str(self.folder / "process.key"),
+            "configuration_file": str(self.configuration_file)})
         self._run(f"sidecar-{name}", BIN / "wagtail-sidecar",
                   f"--settings={path}")
         if self.proxied:
             self._start_proxy(name, spec)
 
     def _start_proxy(self, name, spec):
-        data, control = free_ports(2)
-        spec["proxy"] = f"127.0.0.1:{data}"
-        spec["proxy_control"] = f"127.0.0.1:{control}"
         self._run(f"proxy-{name}", BIN / "fault_proxy",
                   f"--listen={spec['proxy_control']}",
                   f"--data={spec['proxy']}", f"--target={spec['data']}",
-                  f"--seed={self.seed + len(self.upstreams)}")
+                  f"--seed={self.seed + self.upstreams.index(spec)}")
 
     def set_faults(self, **rates):
         """Sets the fault rates of all proxies; returns the counts so far."""
@@ -232,7 +242,7 @@
             "process_keys": {"sign_with": "process-1",
                              "accept": ["process-1"]},
             "spread": {"poll_interval_ms": 1000},
-            "membership": {"heartbeat_interval_ms": 250,
+            "membership": {"heartbeat_interval_ms": HEARTBEAT_MS,
                            "silent_heartbeats": 4, "cells": 1},
             "lease": {"length_ms": 10000, "renew_interval_ms": 3000,
                       "margin_ms": 2000}}
--- a/src/cell_gossip/cell_reader.cpp
+++ b/src/cell_gossip/cell_reader.cpp
@@ -2,16 +2,13 @@
 #include "cell_gossip/cell_reader.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace wagtailseam::cell_gossip
 {
 
-cell_reader::cell_reader(
-    const cell_reader_options& options, random_source& random)
-    : options_(options), random_(&random)
-{
-}
+cell_reader::cell_reader(random_source& random) : random_(&random) {}
 
 std::vector<reader_command> cell_reader::handle(
     const reader_event& event, mono_time now)
@@ -21,15 +18,17 @@
     return std::exchange(commands_, {});
 }
 
-const cell_reader::cell_view* cell_reader::view(cell_id cell) const
+std::vector<member_row> cell_reader::live_rows(
+    cell_id cell, mono_time now) const
 {
     const auto found = cells_.find(cell);
-    const bool known = found != cells_.end() && found->second.view;
-    return known ? &*found->second.view : nullptr;
+    return found == cells_.end() ? std::vector<member_row>{}
+                                 : found->second.table.live_rows(now);
 }
 
 void cell_reader::on(const cells_configured& event, mono_time now)
 {
+    timing_ = event.timing;
     std::map<cell_id, cell_state> next;
     for (const auto& [cell, members] : event.cells)
     {
@@ -44,6 +43,7 @@
             state.next_ask = now;
         }
         state.members = members;
+        state.table.set_suspect_after(timing_.suspect_after);
         next.emplace(cell, std::move(state));
     }
     cells_ = std::move(next);
@@ -59,26 +59,15 @@
     }
     cell_state& state = found->second;
     state.asked = false;
-    if (!event.rows.empty())
+    state.table.forget_silent(now);
+    for (const member_row& row : event.rows)
     {
-        state.view = cell_view{event.rows, now};
+        state.table.merge(row, now);
     }
-    else if (state.view && event.loads.size() == state.view->rows.size())
+    if (event.rows.empty() && !state.table.refresh_loads(event.loads, now))
     {
-        const duration passed = now - state.view->heard;
-        for (std::size_t i = 0; i < event.loads.size(); ++i)
-        {
-            state.view->rows[i].load = event.loads[i];
-            state.view->rows[i].clock_us += passed.count();
-        }
-        state.view->heard = now;
-    }
-    else
-    {
-        // Loads without rows to put them to: the next question gets rows.
-        state.view.reset();
-        state.next_ask = now + options_.retry;
-        return;
+        // A member fell silent since the question: the next one gets rows.
+        state.next_ask = std::min(state.next_ask, now + timing_.retry);
     }
     commands_.emplace_back(cell_changed{event.cell});
 }
@@ -89,7 +78,7 @@
     if (found != cells_.end())
     {
         found->second.asked = false;
-        found->second.next_ask = now + options_.retry;
+        found->second.next_ask = now + timing_.retry;
     }
 }
 
@@ -110,24 +99,19 @@
     const double jitter = 0.9 + 0.2 * random_->unit();
     state.next_ask =
         now + duration(static_cast<duration::rep>(
-                  jitter * static_cast<double>(options_.interval.count())));
-    const fingerprint known =
-        state.view ? fingerprint_of(state.view->rows) : fingerprint{};
-    commands_.emplace_back(ask_cell{cell, draw_member(state), known});
+                  jitter * static_cast<double>(timing_.interval.count())));
+    const fingerprint known = state.table.live_fingerprint(now);
+    commands_.emplace_back(ask_cell{cell, draw_member(state, now), known});
 }
 
-upstream_id cell_reader::draw_member(const cell_state& state)
+upstream_id cell_reader::draw_member(const cell_state& state, mono_time now)
 {
-    // A member that was live is asked nine times in ten; the tenth question
-    // goes to any, so that a view that lost everybody recovers.
-    const bool any =
-        !state.view || state.view->rows.empty() || random_->below(10) == 0;
-    if (any)
-    {
-        return state.members[random_->below(state.members.size())];
-    }
-    const auto& rows = state.view->rows;
-    return rows[random_->below(rows.size())].member;
+    // A live member is asked nine times in ten; the tenth question goes to
+    // any, so that a view that lost everybody recovers.
+    const auto rows = state.table.live_rows(now);
+    const bool any = rows.empty() || random_->below(10) == 0;
+    return any ? state.members[random_->below(state.members.size())]
+               : rows[random_->below(rows.size())].member;
 }
 
 void cell_reader::arm()
--- a/src/cell_gossip/cell_reader.hpp
+++ b/src/cell_gossip/cell_reader.hpp
@@ -8,25 +8,28 @@
 #include "core/random_source.hpp"
 
 #include <map>
-#include <optional>
 #include <variant>
 #include <vector>
 
 namespace wagtailseam::cell_gossip
 {
 
-struct cell_reader_options
+struct reader_timing
 {
     /// Pause between two questions to the same cell.
     duration interval = std::chrono::seconds(4);
     /// Pause after a question that was not answered; another member is asked.
     duration retry = std::chrono::milliseconds(500);
+    /// Silence after which a member's row no longer counts.
+    duration suspect_after = std::chrono::seconds(24);
 };
 
-/// The configured members of all cells.
+/// The configured members of all cells. What is known of cells that stay is
+/// kept.
 struct cells_configured
 {
     std::map<cell_id, std::vector<upstream_id>> cells;
+    reader_timing timing;
 };
 
 /// A member answered for its cell.
@@ -36,7 +39,7 @@
     fingerprint of;
     /// All rows; empty when the fingerprint asked with was current.
     std::vector<member_row> rows;
-    /// Loads in the order of the rows' ids, when there are no rows.
+    /// Loads of the live members in order of ids, when there are no rows.
     std::vector<member_load> loads;
 };
 
@@ -79,28 +82,25 @@
 {
 public:
     /// @param random draws members and jitter; outlives this object
-    cell_reader(const cell_reader_options& options, random_source& random);
+    explicit cell_reader(random_source& random);
 
     /// Handles one event. Complexity: linear in the cells, and in the members
     /// of a cell that answered.
     [[nodiscard]] std::vector<reader_command> handle(
         const reader_event& event, mono_time now);
 
-    /// Returns the last known rows of a cell, in order of ids, and when they
-    /// came; nothing before the first answer.
-    struct cell_view
-    {
-        std::vector<member_row> rows;
-        mono_time heard;
-    };
-    [[nodiscard]] const cell_view* view(cell_id cell) const;
+    /// Returns the live rows of a cell, in order of ids; none before the first
+    /// answer.
+    [[nodiscard]] std::vector<member_row> live_rows(
+        cell_id cell, mono_time now) const;
 
 private:
     struct cell_state
     {
         std::vector<upstream_id> members;
-        std::optional<cell_view> view;
-        /// Members asked next; drawn from live members when there are any.
+        /// Rows are merged and not replaced: a member that has just started
+        /// answers for a cell of which it knows only itself.
+        cell_table table;
         mono_time next_ask;
         bool asked = false;
     };
@@ -111,9 +111,10 @@
     void on(const reader_due& event, mono_time now);
     void ask(cell_id cell, cell_state& state, mono_time now);
     void arm();
-    [[nodiscard]] upstream_id draw_member(const cell_state& state);
+    [[nodiscard]] upstream_id draw_member(
+        const cell_state& state, mono_time now);
 
-    cell_reader_options options_;
+    reader_timing timing_;
     random_source* random_;
     std::map<cell_id, cell_state> cells_;
     std::vector<reader_command> commands_;
--- a/src/cell_gossip/cell_table.cpp
+++ b/src/cell_gossip/cell_table.cpp
@@ -55,6 +55,26 @@
     return true;
 }
 
+bool cell_table::refresh_loads(
+    const std::vector<member_load>& loads, mono_time now)
+{
+    if (live_rows(now).size() != loads.size())
+    {
+        return false;
+    }
+    auto load = loads.begin();
+    for (auto& [member, held] : held_)
+    {
+        if (live(held, now))
+        {
+            held.row.load = *load++;
+            held.row.clock_us += (now - held.heard).count();
+            held.heard = now;
+        }
+    }
+    return true;
+}
+
 void cell_table::forget_silent(mono_time now)
 {
     std::erase_if(
--- a/src/cell_gossip/cell_table.hpp
+++ b/src/cell_gossip/cell_table.hpp
@@ -88,13 +88,23 @@
         std::size_t max_members = 1'024;
     };
 
-    cell_table() = default;
+    cell_table() : cell_table(options{}) {}
     explicit cell_table(const options& settings) : options_(settings) {}
 
+    /// Changes when a member counts as silent.
+    void set_suspect_after(duration silence) noexcept
+    {
+        options_.suspect_after = silence;
+    }
+
     /// Takes a row unless a newer one is known.
     /// @return whether it was taken. Complexity: logarithmic in the members.
     bool merge(const member_row& row, mono_time now);
 
+    /// Takes the loads of all live members, in order of their ids, as news of
+    /// them. @return false, and nothing is taken, when their number differs
+    bool refresh_loads(const std::vector<member_load>& loads, mono_time now);
+
     /// Drops rows of members that have been silent for forget_after.
     void forget_silent(mono_time now);
 
--- a/src/cell_gossip/gossip_core.cpp
+++ b/src/cell_gossip/gossip_core.cpp
@@ -23,9 +23,11 @@
 void gossip_core::on(const members_configured& event, mono_time now)
 {
     members_ = event.members;
+    interval_ = event.interval;
+    table_.set_suspect_after(event.suspect_after);
     std::erase(members_, options_.self);
     speak(now);
-    commands_.emplace_back(wait_interval{now + options_.interval});
+    commands_.emplace_back(wait_interval{now + interval_});
 }
 
 void gossip_core::on(const self_changed& event, mono_time now)
@@ -47,10 +49,8 @@
     begin(now);
     // Jitter keeps members from speaking in step.
     const auto jitter = static_cast<duration::rep>(
-        (random_->unit() - 0.5) * 0.2 *
-        static_cast<double>(options_.interval.count()));
-    commands_.emplace_back(
-        wait_interval{now + options_.interval + duration(jitter)});
+        (random_->unit() - 0.5) * 0.2 * static_cast<double>(interval_.count()));
+    commands_.emplace_back(wait_interval{now + interval_ + duration(jitter)});
 }
 
 void gossip_core::on(const exchange_asked& event, mono_time now)
--- a/src/cell_gossip/gossip_core.hpp
+++ b/src/cell_gossip/gossip_core.hpp
@@ -20,17 +20,17 @@
     /// Above that of earlier lives, such as the calendar time of the start; a
     /// wrong clock is mended by what others remember of this member.
     std::uint64_t epoch = 1;
-    /// Pause between two exchanges that this member begins.
-    duration interval = std::chrono::seconds(1);
-    /// An own row is spoken at once when the state changes; load alone waits
-    /// for the interval.
     cell_table::options table;
 };
 
-/// The configured members of the cell, other than this one.
+/// The configured members of the cell and its timing.
 struct members_configured
 {
     std::vector<upstream_id> members;
+    /// Pause between two exchanges that this member begins. A change of state
+    /// is spoken at once; load alone waits.
+    duration interval = std::chrono::seconds(1);
+    duration suspect_after = std::chrono::seconds(12);
 };
 
 /// What this member says of itself from now on.
@@ -115,6 +115,7 @@
     random_source* random_;
     cell_table table_;
     std::vector<upstream_id> members_;
+    duration interval_ = std::chrono::seconds(1);
     member_identity identity_;
     member_load load_;
     row_age age_;
--- a/src/cell_gossip/slice.cmake
+++ b/src/cell_gossip/slice.cmake
@@ -1,1 +1,1 @@
-wagtail_slice(cell_gossip DEPENDS wagtail_core)
+wagtail_slice(cell_gossip DEPENDS wagtail_core wagtail_messages)
--- a/src/entry/app.cpp
+++ b/src/entry/app.cpp
@@ -1,4 +1,4 @@
-// Routes of callers, probes of upstreams, shutdown.
+// Routes of callers, shutdown.
 #include "entry/app.hpp"
 
 #include "entry/chat.hpp"
@@ -21,8 +21,6 @@
 {
 
 constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
-constexpr std::chrono::milliseconds probe_interval{250};
-constexpr std::chrono::milliseconds probe_timeout{400};
 /// The balancer sees readiness fail before connections are refused.
 constexpr std::chrono::seconds drain_notice{1};
 constexpr std::chrono::milliseconds drain_poll{20};
@@ -35,6 +33,7 @@
     asio::io_context& context, entry_settings settings,
     identity::process_keys keys)
     : shared_(context, std::move(settings), std::move(keys)), filings_(shared_),
+      cells_(shared_),
       id_prefix_(
           shared_.settings.entry.value() + "-" +
           std::to_string(runtime::random_incarnation() % 1'000'000'007) + "-"),
@@ -61,7 +60,6 @@
                 [this](config_number number, configuration::configuration made)
             { configure(number, std::move(made)); }});
     shared_.spread->start();
-    asio::co_spawn(context, probe_upstreams(), asio::detached);
     telemetry::event("started")
         .with("entry", shared_.settings.entry)
         .with("listen", shared_.settings.caller_listen);
@@ -76,6 +74,7 @@
         std::move(accepted));
     shared_.config_in_force = number;
     shared_.upstreams.configure(*shared_.config);
+    cells_.configure(*shared_.config);
     telemetry::event("configured").with("number", number);
 }
 
@@ -201,42 +200,6 @@
         exchange, id, std::move(workspace), std::move(call).value());
 }
 
-asio::awaitable<void> app::probe_upstreams()
-{
-    asio::steady_timer timer(shared_.context);
-    for (;;)
-    {
-        for (const auto& [id, view] : shared_.upstreams.all())
-        {
-            asio::co_spawn(
-                shared_.context,
-                probe(id, http::address{view.settings.sidecar}),
-                asio::detached);
-        }
-        timer.expires_after(probe_interval);
-        co_await timer.async_wait(completion);
-    }
-}
-
-asio::awaitable<void> app::probe(upstream_id upstream, http::address sidecar)
-{
-    messages::control_request asked;
-    asked.set_sender(shared_.settings.entry.value());
-    shared_.spread->stamp(asked);
-    asked.mutable_probe();
-    const http::address to = peer::control_address(sidecar);
-    const auto reply =
-        co_await shared_.control.ask(to, std::move(asked), probe_timeout);
-    if (!reply)
-    {
-        shared_.metrics.count("wagtail_probes_failed_total");
-        co_return;
-    }
-    shared_.spread->saw(reply.value().config_number(), to.value());
-    shared_.upstreams.record_reply(
-        upstream, reply.value().probe(), monotonic_clock::now());
-}
-
 void app::drain()
 {
     telemetry::event("draining").with("active", caller_server_.active());
--- a/src/entry/app.hpp
+++ b/src/entry/app.hpp
@@ -4,6 +4,7 @@
 
 #include "caller_http/answer_format.hpp"
 #include "caller_http/chat_request.hpp"
+#include "entry/cell_watch.hpp"
 #include "entry/filing_desk.hpp"
 #include "entry/peers.hpp"
 #include "entry/request_run.hpp"
@@ -43,8 +44,6 @@
         messages::control_request asked);
     asio::awaitable<void> answer_error(
         http::exchange& exchange, const request_id& id, error why);
-    asio::awaitable<void> probe_upstreams();
-    asio::awaitable<void> probe(upstream_id upstream, http::address sidecar);
     asio::awaitable<void> finish_drain();
     [[nodiscard]] result<configuration::workspace_settings> authenticate(
         const http::request& asked) const;
@@ -55,6 +54,7 @@
 
     peers shared_;
     filing_desk filings_;
+    cell_watch cells_;
     std::string id_prefix_;
     std::uint64_t requests_ = 0;
     http::server caller_server_;
--- /dev/null
+++ b/src/entry/cell_watch.hpp
@@ -0,0 +1,36 @@
+// Keeps the directory of upstreams up to date by asking one member of each
+// cell.
+#ifndef WAGTAILSEAM_ENTRY_CELL_WATCH_HPP
+#define WAGTAILSEAM_ENTRY_CELL_WATCH_HPP
+
+#include "cell_gossip/cell_reader.hpp"
+#include "entry/peers.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace wagtailseam::entry
+{
+
+class cell_watch
+{
+public:
+    explicit cell_watch(peers& shared);
+
+    /// Takes the cells and timing of a configuration in force.
+    void configure(const configuration::configuration& wanted);
+
+private:
+    void feed(const cell_gossip::reader_event& event);
+    void obey(const cell_gossip::ask_cell& command);
+    void obey(const cell_gossip::wait_reader& command);
+    void obey(const cell_gossip::cell_changed& command);
+    asio::awaitable<void> ask(cell_gossip::ask_cell question, http::address to);
+
+    peers& shared_;
+    asio::steady_timer timer_;
+    cell_gossip::cell_reader core_;
+};
+
+} // namespace wagtailseam::entry
+
+#endif
--- a/src/entry/filing_run.cpp
+++ b/src/entry/filing_run.cpp
@@ -80,7 +80,7 @@
     {
         return filing::plan_refused{result_code::no_upstream};
     }
-    return filing::plan_made{upstream_directory::target_of(*chosen)};
+    return filing::plan_made{upstream_directory::target_of(*chosen, now)};
 }
 
 void filing_run::obey(const filing::ask_plan& command)
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -107,7 +107,7 @@
         "event=plan attempt=" + std::to_string(command.attempt.number.value()) +
             " upstream=" + chosen->settings.id.value() +
             " candidates=" + std::to_string(candidates.size()));
-    feed(attempt::attempt_planned{upstream_directory::target_of(*chosen)});
+    feed(attempt::attempt_planned{upstream_directory::target_of(*chosen, now)});
 }
 
 asio::awaitable<void> request_run::obey_one(attempt::run_attempt command)
--- a/src/entry/upstream_directory.cpp
+++ b/src/entry/upstream_directory.cpp
@@ -1,6 +1,8 @@
-// Views of upstreams, updated by probes.
+// Views of upstreams, updated by the rows of cells.
 #include "entry/upstream_directory.hpp"
 
+#include "cell_gossip/log_scale.hpp"
+
 #include <algorithm>
 
 namespace wagtailseam::entry
@@ -20,7 +22,10 @@
     }
     const bool right_version =
         need.version == weight_version{} || view.version == need.version;
-    return view.model == need.model && right_version;
+    const auto& models = view.settings.models;
+    const bool has_model =
+        std::find(models.begin(), models.end(), need.model) != models.end();
+    return has_model && right_version;
 }
 
 } // namespace
@@ -43,34 +48,30 @@
     views_ = std::move(next);
 }
 
-void upstream_directory::record_reply(
-    const upstream_id& upstream, const messages::probe_reply& reply,
-    mono_time now)
+void upstream_directory::record_rows(
+    const std::vector<cell_gossip::member_row>& rows, mono_time now)
 {
-    const auto found = views_.find(upstream);
-    if (found == views_.end())
-    {
-        return;
-    }
-    upstream_view& view = found->second;
-    for (const messages::upstream_load& load : reply.loads())
+    using cell_gossip::from_level;
+    using cell_gossip::member_state;
+    for (const auto& row : rows)
     {
-        if (load.upstream() != upstream.value())
+        const auto found = views_.find(row.member);
+        if (found == views_.end())
         {
             continue;
         }
+        upstream_view& view = found->second;
         view.heard = true;
-        view.last_reply = now;
-        view.life = incarnation{load.incarnation()};
-        view.sidecar_clock = attempt::sidecar_time(duration(reply.clock_us()));
-        view.draining = load.draining();
-        view.upstream_ready = load.upstream_ready();
-        view.running = load.running();
-        view.queued = load.queued();
-        view.queued_tokens = token_count{load.queued_tokens()};
-        view.prefill_rate = token_rate{load.prefill_rate()};
-        view.model = model_id{load.model()};
-        view.version = weight_version{load.weight_version()};
+        view.last_row = now;
+        view.life = row.identity.life;
+        view.sidecar_clock = attempt::sidecar_time(duration(row.clock_us));
+        view.draining = row.identity.state == member_state::draining;
+        view.upstream_ready = row.identity.state == member_state::ready;
+        view.version = row.identity.version;
+        view.running = static_cast<std::uint32_t>(from_level(row.load.running));
+        view.queued_tokens = token_count{
+            static_cast<std::uint64_t>(from_level(row.load.queued_tokens))};
+        view.prefill_rate = token_rate{from_level(row.load.prefill_rate)};
     }
 }
 
@@ -101,7 +102,7 @@
     {
         const bool avoided =
             std::find(avoid.begin(), avoid.end(), id) != avoid.end();
-        const bool alive = view.heard && now - view.last_reply <= silence_bound;
+        const bool alive = view.heard && now - view.last_row <= silence_bound;
         const bool open = !view.draining && view.upstream_ready;
         if (alive && open && !avoided && serves(view, need))
         {
@@ -118,12 +119,13 @@
 }
 
 attempt::dispatch_target upstream_directory::target_of(
-    const upstream_view& view)
+    const upstream_view& view, mono_time now)
 {
     return attempt::dispatch_target{
         .upstream = view.settings.id,
         .life = view.life,
-        .valid_until = view.sidecar_clock + dispatch_validity};
+        .valid_until =
+            view.sidecar_clock + (now - view.last_row) + dispatch_validity};
 }
 
 } // namespace wagtailseam::entry
--- a/src/entry/upstream_directory.hpp
+++ b/src/entry/upstream_directory.hpp
@@ -1,15 +1,15 @@
-// What this entry knows of each upstream, from its sidecar's replies to
-// probes.
+// What this entry knows of each upstream, from the gossip of its
+// cell.
 #ifndef WAGTAILSEAM_ENTRY_UPSTREAM_DIRECTORY_HPP
 #define WAGTAILSEAM_ENTRY_UPSTREAM_DIRECTORY_HPP
 
 #include "attempt/attempt_types.hpp"
+#include "cell_gossip/cell_table.hpp"
 #include "configuration/configuration.hpp"
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "core/result.hpp"
 #include "http/message.hpp"
-#include "messages/wagtail.hpp"
 
 #include <map>
 #include <span>
@@ -23,9 +23,10 @@
 struct upstream_view
 {
     configuration::upstream_settings settings;
-    /// False until the first reply, and after the silence bound.
+    /// False until the first row.
     bool heard = false;
-    mono_time last_reply;
+    /// When its row was last among the live ones.
+    mono_time last_row;
     incarnation life;
     attempt::sidecar_time sidecar_clock;
     bool draining = false;
@@ -34,7 +35,6 @@
     std::uint32_t queued = 0;
     token_count queued_tokens;
     token_rate prefill_rate;
-    model_id model;
     weight_version version;
     /// Attempts that this entry has under way there.
     std::uint32_t own_attempts = 0;
@@ -54,18 +54,19 @@
 class upstream_directory
 {
 public:
-    /// Longest silence after which an upstream still gets new work.
-    static constexpr std::chrono::milliseconds silence_bound{1'000};
+    /// Longest silence after which an upstream still gets new work; rows of
+    /// silent members are left out of a cell's live rows before that.
+    static constexpr std::chrono::seconds silence_bound{30};
     /// How long a dispatch may begin after the sidecar's clock was read.
     static constexpr std::chrono::seconds dispatch_validity{20};
 
     /// Takes a configuration; what was heard of upstreams that stay is kept.
     void configure(const configuration::configuration& wanted);
 
-    /// Takes a reply to a probe.
-    void record_reply(
-        const upstream_id& upstream, const messages::probe_reply& reply,
-        mono_time now);
+    /// Takes the live rows of a cell; upstreams without a row keep what was
+    /// last heard of them.
+    void record_rows(
+        const std::vector<cell_gossip::member_row>& rows, mono_time now);
 
     /// Counts an attempt that begins or ends there.
     void attempt_started(const upstream_id& upstream);
@@ -85,9 +86,10 @@
         return views_;
     }
 
-    /// Returns where to send an attempt, by the sidecar's own clock.
+    /// Returns where to send an attempt. The sidecar's clock is moved on by the
+    /// time since its row came; only the sidecar itself compares it.
     [[nodiscard]] static attempt::dispatch_target target_of(
-        const upstream_view& view);
+        const upstream_view& view, mono_time now);
 
 private:
     std::map<upstream_id, upstream_view> views_;
--- a/src/sidecar/app.cpp
+++ b/src/sidecar/app.cpp
@@ -1,6 +1,7 @@
 // Dispatches and their streams.
 #include "sidecar/app.hpp"
 
+#include "cell_gossip/log_scale.hpp"
 #include "core/overloaded.hpp"
 #include "peer/signed_http.hpp"
 #include "runtime/program.hpp"
@@ -61,8 +62,11 @@
           {.self = peer::control_address(settings_.listen),
            .peers = settings_.configuration_peers,
            .seed = runtime::random_incarnation(),
-           .apply = [this](config_number number, const auto&)
-           { configure(number); }}),
+           .apply = [this](config_number number, const auto& accepted)
+           { configure(number, accepted); }}),
+      cell_(
+          context, control_client_, settings_.upstream, gate_.life(),
+          runtime::random_incarnation()),
       data_server_(
           context.get_executor(), {.listen = settings_.listen},
           [this](http::exchange& exchange) { return serve_data(exchange); }),
@@ -93,6 +97,7 @@
         };
         asio::co_spawn(context_, monitor_.run(version_changed), asio::detached);
     }
+    asio::co_spawn(context_, report_self(), asio::detached);
     spread_.start();
     telemetry::event("started")
         .with("upstream", settings_.upstream)
@@ -113,9 +118,33 @@
     return found == records_.end() ? nullptr : found->second;
 }
 
-void app::configure(config_number number)
+void app::configure(
+    config_number number, const configuration::configuration& accepted)
 {
     (void)gate_.handle(attempt::config_learned{number}, now());
+    cell_.configure(accepted, spread_);
+}
+
+asio::awaitable<void> app::report_self()
+{
+    using cell_gossip::member_state;
+    using cell_gossip::to_level;
+    asio::steady_timer timer(context_);
+    for (;;)
+    {
+        const upstream_report& report = monitor_.report();
+        const auto state = gate_.draining() ? member_state::draining
+                           : ready()        ? member_state::ready
+                                            : member_state::upstream_down;
+        const auto queued = static_cast<double>(report.queued_tokens.value());
+        cell_.set_self(
+            {.life = gate_.life(), .state = state, .version = report.version},
+            {.queued_tokens = to_level(queued),
+             .prefill_rate = to_level(report.prefill_rate.value()),
+             .running = to_level(static_cast<double>(gate_.running()))});
+        timer.expires_after(upstream_monitor::poll_interval);
+        co_await timer.async_wait(completion);
+    }
 }
 
 void app::count_refusal(result_code code, const attempt::attempt_id& id)
--- a/src/sidecar/app.hpp
+++ b/src/sidecar/app.hpp
@@ -10,6 +10,7 @@
 #include "peer/peer.hpp"
 #include "platform/client.hpp"
 #include "sidecar/attempt_record.hpp"
+#include "sidecar/cell_member.hpp"
 #include "sidecar/kept_cache_agent.hpp"
 #include "sidecar/settings.hpp"
 #include "sidecar/store_service.hpp"
@@ -35,6 +36,10 @@
     app(const app&) = delete;
     app& operator=(const app&) = delete;
 
+    /// Puts a configuration in force. Number 0 is the one to start with.
+    void configure(
+        config_number number, const configuration::configuration& accepted);
+
     /// Refuses new work, finishes what is in progress, then stops the
     /// io_context.
     void drain();
@@ -60,7 +65,6 @@
 
     asio::awaitable<messages::control_reply> answer_control(
         messages::control_request asked);
-    messages::probe_reply answer_probe() const;
     messages::tombstone_reply answer_tombstone(
         const messages::tombstone_request& asked);
     messages::cancel_reply answer_cancel(const messages::cancel_request& asked);
@@ -68,7 +72,7 @@
     [[nodiscard]] std::shared_ptr<attempt_record> find(
         const attempt::attempt_id& id) const;
     std::shared_ptr<attempt_record> begin(const messages::dispatch& asked);
-    void configure(config_number number);
+    asio::awaitable<void> report_self();
     void count_refusal(result_code code, const attempt::attempt_id& id);
     [[nodiscard]] attempt::sidecar_time now() const;
     [[nodiscard]] std::string status_json() const;
@@ -89,6 +93,7 @@
     /// Attempts that began and whose frames are still kept.
     std::map<attempt::attempt_id, std::shared_ptr<attempt_record>> records_;
     spread::runner spread_;
+    cell_member cell_;
     http::server data_server_;
     http::server admin_server_;
     peer::control_server control_server_;
--- a/src/sidecar/control.cpp
+++ b/src/sidecar/control.cpp
@@ -47,9 +47,6 @@
     spread_.stamp(reply);
     switch (asked.kind_case())
     {
-    case kind::kProbe:
-        *reply.mutable_probe() = answer_probe();
-        break;
     case kind::kTombstone:
         *reply.mutable_tombstone() = answer_tombstone(asked.tombstone());
         break;
@@ -57,7 +54,7 @@
         *reply.mutable_cancel() = answer_cancel(asked.cancel());
         break;
     default:
-        if (!spread_.answer(asked, reply))
+        if (!spread_.answer(asked, reply) && !cell_.answer(asked, reply))
         {
             reply.set_code(
                 static_cast<std::uint32_t>(result_code::malformed_message));
@@ -67,28 +64,6 @@
     co_return reply;
 }
 
-messages::probe_reply app::answer_probe() const
-{
-    const upstream_report& report = monitor_.report();
-    messages::probe_reply reply;
-    reply.set_clock_us(now().time_since_epoch().count());
-    messages::upstream_load& load = *reply.add_loads();
-    load.set_upstream(settings_.upstream.value());
-    load.set_incarnation(gate_.life().value());
-    load.set_role(std::string(name(settings_.role)));
-    load.set_draining(gate_.draining());
-    load.set_upstream_ready(ready());
-    load.set_running(static_cast<std::uint32_t>(gate_.running()));
-    load.set_queued(report.queued);
-    load.set_queued_tokens(report.queued_tokens.value());
-    load.set_prefill_rate(report.prefill_rate.value());
-    load.set_model(report.model.value());
-    load.set_weight_version(report.version.value());
-    const duration age = monotonic_clock::now() - report.at;
-    load.set_age_us(static_cast<std::uint64_t>(age.count()));
-    return reply;
-}
-
 messages::tombstone_reply app::answer_tombstone(
     const messages::tombstone_request& asked)
 {
@@ -138,6 +113,7 @@
         {"running", gate_.running()},
         {"kept_streams", records_.size()},
         {"kept_blocks", store_ ? store_->blocks() : 0},
+        {"cell_members_live", cell_.live()},
         {"weight_version", report.version.value()},
         {"control_bytes_sent", traffic_.bytes_sent},
         {"control_bytes_received", traffic_.bytes_received}};
--- a/src/sidecar/settings.cpp
+++ b/src/sidecar/settings.cpp
@@ -56,6 +56,11 @@
           .fallback = nlohmann::json::array(),
           .description = "Control addresses of a few entries, at best in "
                          "different data centres."},
+         {.name = "configuration_file",
+          .rule = text_rule{},
+          .fallback = "",
+          .description = "Configuration to start with before an accepted one "
+                         "was read; may be empty."},
          {.name = "log_level",
           .rule = text_rule{.one_of = {"debug", "info", "warn", "error"}},
           .fallback = "info",
@@ -87,6 +92,7 @@
         .store_memory =
             byte_count{
                 value["store_memory_mb"].get<std::uint64_t>() * bytes_per_mb},
+        .configuration_file = text("configuration_file"),
         .configuration_peers =
             spread::addresses_from(value["configuration_peers"])};
 }
--- a/src/sidecar/settings.hpp
+++ b/src/sidecar/settings.hpp
@@ -27,6 +27,8 @@
     std::string process_key_file;
     /// Memory for kept blocks; stores only.
     byte_count store_memory;
+    /// Configuration to start with; empty: only accepted ones are used.
+    std::string configuration_file;
     /// Control addresses of entries that this process asks for the
     /// configuration at its start.
     std::vector<http::address> configuration_peers;
--- a/src/sidecar/slice.cmake
+++ b/src/sidecar/slice.cmake
@@ -1,1 +1,1 @@
-wagtail_slice(sidecar DEPENDS wagtail_attempt wagtail_configuration wagtail_kept_cache wagtail_peer wagtail_platform wagtail_runtime wagtail_spread wagtail_telemetry)
+wagtail_slice(sidecar DEPENDS wagtail_attempt wagtail_cell_gossip wagtail_configuration wagtail_kept_cache wagtail_peer wagtail_platform wagtail_runtime wagtail_spread wagtail_telemetry)
