Pay for retries from the pool's budget and say when to come back

Every failed attempt was followed by up to three more, so that engines that all fail saw four times their load. The entry now spends from retry_budget before a pause; a refused retry ends the request at once, and errors of requests carry Retry-After of 1 to 2 s. Retries are counted when they are made, not at each failure. A loss is charged as a crash, since a sidecar does not tell the two apart yet; charging it as a failure would refuse a batch that is lost together at a new entry.

--- a/src/entry/chat.cpp
+++ b/src/entry/chat.cpp
@@ -198,7 +198,8 @@
     {
         auto answer = ok ? caller_http::whole_answer(
                                identity_, whole_, reason, usage_of(ended))
-                         : caller_http::error_answer(id_, error{ended.code});
+                         : caller_http::error_answer(
+                               id_, error{ended.code}, ended.retry_after);
         co_await exchange_.send(std::move(answer));
         co_return;
     }
--- a/src/entry/peers.hpp
+++ b/src/entry/peers.hpp
@@ -10,12 +10,14 @@
 #include "identity/process_keys.hpp"
 #include "peer/peer.hpp"
 #include "platform/client.hpp"
+#include "retry/retry_budget.hpp"
 #include "spread/runner.hpp"
 #include "telemetry/counters.hpp"
 
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <random>
 
@@ -42,6 +44,8 @@
     upstream_directory upstreams;
     explain_ring explained;
     random_source random;
+    /// One for each pool: a configured model or service.
+    std::map<std::string, retry::retry_budget> retry_budgets;
     /// The configuration in force; null until there is one.
     std::shared_ptr<const configuration::configuration> config;
     config_number config_in_force;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -9,12 +9,16 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <cmath>
+
 namespace wagtailseam::entry
 {
 namespace
 {
 
 constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
+/// Shortest time told to a caller whose request failed.
+constexpr duration least_retry_after = std::chrono::seconds(1);
 
 std::string describe(const attempt::judgement& verdict)
 {
@@ -37,6 +41,15 @@
         verdict);
 }
 
+/// Nothing of a refused attempt reached the upstream. A loss is charged as a
+/// crash: a batch that is lost together may run again together.
+retry::retry_cause cause_of(const attempt::judgement& verdict)
+{
+    return std::holds_alternative<attempt::not_run>(verdict)
+               ? retry::retry_cause::reroute
+               : retry::retry_cause::upstream_crash;
+}
+
 } // namespace
 
 request_run::request_run(peers& shared, request_plan plan)
@@ -55,6 +68,7 @@
 
 asio::awaitable<request_result> request_run::run()
 {
+    budget().on_request();
     feed(attempt::request_begun{});
     while (!ended_ && !queue_.empty())
     {
@@ -66,6 +80,27 @@
     co_return outcome_;
 }
 
+retry::retry_budget& request_run::budget()
+{
+    const bool engine = plan_.need.kind == configuration::upstream_kind::engine;
+    const std::string pool = engine ? "model/" + plan_.need.model.value()
+                                    : "service/" + plan_.need.service;
+    return shared_.retry_budgets[pool];
+}
+
+bool request_run::may_retry()
+{
+    const bool permitted = budget().try_spend(cause_of(last_verdict_));
+    if (!permitted)
+    {
+        shared_.metrics.count(
+            "wagtail_retries_refused_total", "reason",
+            name(result_code::retry_budget_spent));
+        shared_.explain(plan_.id, "event=retry_refused reason=budget");
+    }
+    return permitted;
+}
+
 void request_run::caller_left()
 {
     caller_left_ = true;
@@ -144,10 +179,7 @@
     outcome_.upstream = command.target.upstream;
     current_.reset();
     const result_code code = code_of(verdict);
-    if (code != result_code::ok)
-    {
-        shared_.metrics.count_retry(code);
-    }
+    last_verdict_ = verdict;
     shared_.explain(plan_.id, "event=attempt_ended " + describe(verdict));
     telemetry::event("attempt_ended")
         .with("request", plan_.id)
@@ -164,6 +196,12 @@
 
 asio::awaitable<void> request_run::obey_one(attempt::wait_until command)
 {
+    if (!may_retry())
+    {
+        feed(attempt::planning_failed{result_code::retry_budget_spent});
+        co_return;
+    }
+    shared_.metrics.count_retry(code_of(last_verdict_));
     asio::steady_timer timer(shared_.context);
     timer.expires_after(command.at - monotonic_clock::now());
     co_await timer.async_wait(completion);
@@ -175,7 +213,22 @@
     outcome_.code = command.code;
     outcome_.status = command.status;
     ended_ = true;
+    note_end(command.code);
     co_return;
 }
 
+void request_run::note_end(result_code code)
+{
+    if (code == result_code::ok)
+    {
+        budget().on_success();
+        return;
+    }
+    // Spread, so that callers refused together come back apart.
+    const double spread = shared_.random.unit();
+    const auto least = static_cast<double>(least_retry_after.count());
+    outcome_.retry_after =
+        least_retry_after + duration(std::llround(spread * least));
+}
+
 } // namespace wagtailseam::entry
--- a/src/entry/request_run.hpp
+++ b/src/entry/request_run.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace wagtailseam::entry
 {
@@ -37,6 +38,8 @@
     std::uint32_t tokens = 0;
     std::uint32_t attempts = 0;
     upstream_id upstream;
+    /// When the caller of a request that failed may come back, from now.
+    std::optional<duration> retry_after;
 };
 
 class request_run
@@ -58,6 +61,10 @@
     asio::awaitable<void> obey_one(attempt::wait_until command);
     asio::awaitable<void> obey_one(attempt::end_request command);
     void feed(const attempt::request_event& event);
+    [[nodiscard]] retry::retry_budget& budget();
+    /// Whether the pool's budget pays for another attempt.
+    [[nodiscard]] bool may_retry();
+    void note_end(result_code code);
 
     peers& shared_;
     request_plan plan_;
@@ -65,6 +72,8 @@
     std::deque<attempt::request_command> queue_;
     std::shared_ptr<attempt_run> current_;
     request_result outcome_;
+    /// How the last attempt ended.
+    attempt::judgement last_verdict_;
     bool ended_ = false;
     bool caller_left_ = false;
 };
--- a/src/entry/service_request.cpp
+++ b/src/entry/service_request.cpp
@@ -61,8 +61,8 @@
     if (ended.code != result_code::ok)
     {
         shared.metrics.count_refusal(ended.code);
-        co_await exchange.send(
-            caller_http::error_answer(id, error{ended.code}));
+        co_await exchange.send(caller_http::error_answer(
+            id, error{ended.code}, ended.retry_after));
         co_return;
     }
     http::response answer;
--- a/stand_ins/engine.cpp
+++ b/stand_ins/engine.cpp
@@ -22,6 +22,8 @@
 ABSL_FLAG(int, token_interval_us, 2000, "Time between two tokens.");
 ABSL_FLAG(int, prefill_us_per_token, 50, "Time to read a prompt token.");
 ABSL_FLAG(int, cache_pieces, 256, "Prefix pieces that the cache holds.");
+ABSL_FLAG(
+    int, fail_status, 0, "Answers each completion with this HTTP status.");
 ABSL_FLAG(int, burst, 1, "Tokens sent at a time.");
 ABSL_FLAG(
     std::string, crash_marker, "", "A prompt with this text ends the process.");
@@ -284,8 +286,15 @@
         {
             std::_Exit(crash_exit_code);
         }
-        ++running_;
         ++completions_;
+        const int fail_status = absl::GetFlag(FLAGS_fail_status);
+        if (fail_status != 0)
+        {
+            co_await stand_ins::send_json(
+                exchange, "{}", static_cast<unsigned>(fail_status));
+            co_return;
+        }
+        ++running_;
         const auto found = cache_.look_up(asked.pieces);
         if (!found.sound)
         {
