--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -111,11 +111,11 @@
 
 
 def sweep_rows(quick):
-    seconds = 5 if quick else 15
-    sizes = (3, 10) if quick else (10, 30, 64, 100)
+    seconds = 5 if quick else 8
+    sizes = (3, 10) if quick else (10, 30, 64)
     # All upstreams are one cell here, so the size is that of a cell.
     rows = [measure("cell", n, 1, n, seconds) for n in sizes]
-    entries = (1, 3) if quick else (1, 10, 30, 90)
+    entries = (1, 3) if quick else (1, 10, 30)
     rows += [measure("entries", n, n, 10, seconds) for n in entries]
     loads = (10, 50) if quick else (50, 100, 200)
     rows += [measure("requests", n, 1, 10, seconds, (n, 8)) for n in loads]
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -40,6 +40,8 @@
 
 # Below the range from which the kernel takes ports of outgoing connections.
 FIRST_PORT, LAST_PORT = 12_000, 32_000
+# Ports given out in this process, whose users may not have bound them yet.
+given_ports = set()
 
 
 def free_ports(count):
@@ -47,11 +49,14 @@
     ports, held = [], []
     while len(ports) < count:
         port = random.randrange(FIRST_PORT, LAST_PORT, 2)
+        if port in given_ports:
+            continue
         pair = [socket.socket(), socket.socket()]
         try:
             pair[0].bind(("127.0.0.1", port))
             pair[1].bind(("127.0.0.1", port + 1))
             ports.append(port)
+            given_ports.add(port)
         except OSError:
             pass
         held += pair
--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -67,7 +67,7 @@
 
 asio::awaitable<void> app::serve_admin(http::exchange& exchange)
 {
-    co_await exchange.send(admin_page(exchange.asked()));
+    (void)co_await exchange.send(admin_page(exchange.asked()));
 }
 
 std::string app::status_json() const
--- a/src/entry/app.cpp
+++ b/src/entry/app.cpp
@@ -103,7 +103,7 @@
     telemetry::event("request_refused")
         .with("request", id)
         .with("reason", why.code);
-    co_await exchange.send(caller_http::error_answer(id, why));
+    (void)co_await exchange.send(caller_http::error_answer(id, why));
 }
 
 asio::awaitable<void> app::serve_caller(http::exchange& exchange)
@@ -111,7 +111,7 @@
     const auto path = exchange.asked().path();
     if (path == "/healthz" || path == "/readyz")
     {
-        co_await exchange.send(admin_page(exchange.asked()));
+        (void)co_await exchange.send(admin_page(exchange.asked()));
         co_return;
     }
     const request_id id = next_request_id();
--- a/src/entry/attempt_run.cpp
+++ b/src/entry/attempt_run.cpp
@@ -263,7 +263,7 @@
     }
     concluded_.cancel();
     // The rest of the body is its end; then the connection is used again.
-    co_await stream.read(control_timeout);
+    (void)co_await stream.read(control_timeout);
 }
 
 bool attempt_run::take_frames(
@@ -333,7 +333,7 @@
     cancel.set_attempt(asked_.attempt());
     cancel.set_incarnation(asked_.incarnation());
     const http::address to = peer::control_address(data_address());
-    co_await shared_.control.ask(to, std::move(asked), control_timeout);
+    (void)co_await shared_.control.ask(to, std::move(asked), control_timeout);
 }
 
 } // namespace wagtailseam::entry
--- a/src/entry/chat.cpp
+++ b/src/entry/chat.cpp
@@ -151,7 +151,7 @@
     head.content_type = "text/event-stream";
     head.headers.emplace_back("Cache-Control", "no-cache");
     head.headers.emplace_back("X-Request-Id", id_.value());
-    co_await exchange_.begin_stream(std::move(head));
+    (void)co_await exchange_.begin_stream(std::move(head));
 }
 
 asio::awaitable<void> chat::take_part(std::string text)
@@ -169,7 +169,7 @@
     caller_http::append_delta(events, identity_, text);
     if (!caller_gone_)
     {
-        co_await exchange_.write(events);
+        (void)co_await exchange_.write(events);
     }
 }
 
@@ -200,7 +200,7 @@
                                identity_, whole_, reason, usage_of(ended))
                          : caller_http::error_answer(
                                id_, error{ended.code}, ended.retry_after);
-        co_await exchange_.send(std::move(answer));
+        (void)co_await exchange_.send(std::move(answer));
         co_return;
     }
     std::string events;
@@ -212,8 +212,8 @@
     {
         caller_http::append_error(events, identity_, error{ended.code});
     }
-    co_await exchange_.write(events);
-    co_await exchange_.end_stream();
+    (void)co_await exchange_.write(events);
+    (void)co_await exchange_.end_stream();
 }
 
 } // namespace wagtailseam::entry
--- a/src/entry/filing_desk.cpp
+++ b/src/entry/filing_desk.cpp
@@ -71,7 +71,7 @@
     if (ended.code != result_code::ok)
     {
         shared_.metrics.count_refusal(ended.code);
-        co_await exchange.send(caller_http::error_answer(
+        (void)co_await exchange.send(caller_http::error_answer(
             id, error{ended.code}, ended.retry_after));
         co_return;
     }
@@ -79,7 +79,7 @@
     answer.status = ended.outcome->status;
     answer.body = ended.outcome->body;
     answer.headers.emplace_back("X-Request-Id", id.value());
-    co_await exchange.send(std::move(answer));
+    (void)co_await exchange.send(std::move(answer));
 }
 
 void filing_desk::write(
--- a/src/entry/service_request.cpp
+++ b/src/entry/service_request.cpp
@@ -61,7 +61,7 @@
     if (ended.code != result_code::ok)
     {
         shared.metrics.count_refusal(ended.code);
-        co_await exchange.send(caller_http::error_answer(
+        (void)co_await exchange.send(caller_http::error_answer(
             id, error{ended.code}, ended.retry_after));
         co_return;
     }
@@ -69,7 +69,7 @@
     answer.status = ended.status;
     answer.body = std::move(body);
     answer.headers.emplace_back("X-Request-Id", id.value());
-    co_await exchange.send(std::move(answer));
+    (void)co_await exchange.send(std::move(answer));
 }
 
 } // namespace wagtailseam::entry
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -285,13 +285,12 @@
         co_return false;
     }
     link.keep_alive = !failed && parser.get().keep_alive();
-    exchange current(
-        link, failed ? request{} : to_request(std::move(parser.release())));
+    exchange current(link, failed ? request{} : to_request(parser.release()));
     if (failed)
     {
         const auto code = too_large ? result_code::body_too_large
                                     : result_code::malformed_http;
-        co_await current.send(rejection(code, too_large ? 413 : 400));
+        (void)co_await current.send(rejection(code, too_large ? 413 : 400));
         co_return false;
     }
     ++active;
--- a/src/sidecar/app.cpp
+++ b/src/sidecar/app.cpp
@@ -166,7 +166,7 @@
     }
     if (store_ && store_service::serves(exchange.asked().path()))
     {
-        co_await exchange.send(
+        (void)co_await exchange.send(
             store_->handle(exchange.asked(), monotonic_clock::now()));
     }
     else if (!store_ && exchange.asked().path() == "/v1/dispatch")
@@ -194,7 +194,7 @@
     answer.status = is_not_run(code) ? status_refused : status_gone;
     answer.content_type = "application/x-protobuf";
     answer.body = refusal.SerializeAsString();
-    co_await exchange.send(std::move(answer));
+    (void)co_await exchange.send(std::move(answer));
 }
 
 asio::awaitable<void> app::serve_dispatch(http::exchange& exchange)
--- a/src/sidecar/control.cpp
+++ b/src/sidecar/control.cpp
@@ -156,7 +156,7 @@
     {
         answer.status = not_found;
     }
-    co_await exchange.send(std::move(answer));
+    (void)co_await exchange.send(std::move(answer));
 }
 
 } // namespace wagtailseam::sidecar
--- a/src/sidecar/kept_cache_agent.cpp
+++ b/src/sidecar/kept_cache_agent.cpp
@@ -268,7 +268,7 @@
 asio::awaitable<void> kept_cache_agent::tell_store(
     http::address store, std::string target)
 {
-    co_await ask_store(std::move(store), std::move(target), "");
+    (void)co_await ask_store(std::move(store), std::move(target), "");
 }
 
 void kept_cache_agent::export_later(const messages::dispatch& asked)
--- a/src/sidecar/upstream_run.cpp
+++ b/src/sidecar/upstream_run.cpp
@@ -77,7 +77,7 @@
         co_await record.wait_for_room();
     }
     // Reads the end of the body, so that the connection can be used again.
-    co_await stream.read(silence_timeout);
+    (void)co_await stream.read(silence_timeout);
     co_return run_end{result_code::ok, status_ok};
 }
 
--- a/stand_ins/control_flags.cpp
+++ b/stand_ins/control_flags.cpp
@@ -39,7 +39,7 @@
     http::response answer;
     answer.status = status;
     answer.body = std::move(text);
-    co_await exchange.send(std::move(answer));
+    (void)co_await exchange.send(std::move(answer));
 }
 
 } // namespace wagtailseam::stand_ins
--- a/stand_ins/engine.cpp
+++ b/stand_ins/engine.cpp
@@ -268,7 +268,7 @@
         answer.status = bytes ? answer.status : not_found;
         answer.content_type = "application/octet-stream";
         answer.body = bytes.value_or("");
-        co_await exchange.send(std::move(answer));
+        (void)co_await exchange.send(std::move(answer));
     }
 
     asio::awaitable<void> complete(http::exchange& exchange)
@@ -358,11 +358,11 @@
                 {"prompt_tokens", prompt_tokens},
                 {"prompt_tokens_details",
                  {{"cached_tokens", cached}, {"imported_tokens", imported}}}};
-            co_await exchange.write(
+            (void)co_await exchange.write(
                 R"(data: {"choices":[{"delta":{},"finish_reason":"length"}],)"
                 R"("usage":)" +
                 usage.dump() + "}\n\ndata: [DONE]\n\n");
-            co_await exchange.end_stream();
+            (void)co_await exchange.end_stream();
         }
     }
 
