Run engines and services through one function

Opening the upstream, refusing truthfully when it is not reached, cancelling and ending the record stood twice, once for each kind; only reading the answer differs. Behaviour is the same: the sidecar, stream integrity, kept cache, filing rules, retry and shutdown tests pass.

--- a/src/sidecar/upstream_run.cpp
+++ b/src/sidecar/upstream_run.cpp
@@ -81,53 +81,29 @@
     co_return run_end{result_code::ok, status_ok};
 }
 
-} // namespace
+/// Reads an answer from its opened stream to its end.
+using answer_reader = asio::awaitable<run_end> (*)(
+    http::response_stream&, attempt_record&, engine_answer&);
 
-asio::awaitable<run_end> run_at_engine(
-    http::client& client, http::address engine, messages::dispatch asked,
-    std::shared_ptr<attempt_record> record)
+asio::awaitable<run_end> read_engine(
+    http::response_stream& stream, attempt_record& record,
+    engine_answer& answer)
 {
-    auto opened = co_await client.open(
-        engine, to_request(asked), silence_timeout,
-        [record] { record->mark_started(); });
-    if (!opened)
-    {
-        const run_end ended = not_opened(*record, opened.error());
-        finish(*record, ended, {});
-        co_return ended;
-    }
-    http::response_stream stream = std::move(opened).value();
-    record->on_cancel([&stream] { stream.close(); });
-    engine_answer answer;
-    run_end ended{result_code::upstream_lost, stream.head().status};
-    if (stream.head().status == status_ok && !record->cancelled())
+    if (stream.head().status != status_ok || record.cancelled())
     {
-        ended = co_await read_tokens(stream, *record, answer);
+        co_return run_end{result_code::upstream_lost, stream.head().status};
     }
-    finish(*record, ended, std::move(answer));
-    co_return ended;
+    co_return co_await read_tokens(stream, record, answer);
 }
 
-asio::awaitable<run_end> run_at_service(
-    http::client& client, http::address service, messages::dispatch asked,
-    std::shared_ptr<attempt_record> record)
+asio::awaitable<run_end> read_service(
+    http::response_stream& stream, attempt_record& record, engine_answer&)
 {
-    auto opened = co_await client.open(
-        service, to_request(asked), silence_timeout,
-        [record] { record->mark_started(); });
-    if (!opened)
-    {
-        const run_end ended = not_opened(*record, opened.error());
-        finish(*record, ended, {});
-        co_return ended;
-    }
-    http::response_stream stream = std::move(opened).value();
-    record->on_cancel([&stream] { stream.close(); });
     run_end ended{result_code::ok, stream.head().status};
     for (;;)
     {
         const auto part = co_await stream.read(silence_timeout);
-        if (!part || record->size_bytes() > attempt_record::max_answer_bytes)
+        if (!part || record.size_bytes() > attempt_record::max_answer_bytes)
         {
             ended.code = result_code::upstream_lost;
             break;
@@ -136,11 +112,52 @@
         {
             break;
         }
-        record->append(part.value(), 0);
-        co_await record->wait_for_room();
+        record.append(part.value(), 0);
+        co_await record.wait_for_room();
     }
-    finish(*record, ended, {});
     co_return ended;
 }
 
+/// Sends the request, reads the answer and ends the record.
+asio::awaitable<run_end> run(
+    http::client& client, http::address upstream, messages::dispatch asked,
+    std::shared_ptr<attempt_record> record, answer_reader read)
+{
+    auto opened = co_await client.open(
+        upstream, to_request(asked), silence_timeout,
+        [record] { record->mark_started(); });
+    if (!opened)
+    {
+        const run_end ended = not_opened(*record, opened.error());
+        finish(*record, ended, {});
+        co_return ended;
+    }
+    http::response_stream stream = std::move(opened).value();
+    record->on_cancel([&stream] { stream.close(); });
+    engine_answer answer;
+    const run_end ended = co_await read(stream, *record, answer);
+    finish(*record, ended, std::move(answer));
+    co_return ended;
+}
+
+} // namespace
+
+asio::awaitable<run_end> run_at_engine(
+    http::client& client, http::address engine, messages::dispatch asked,
+    std::shared_ptr<attempt_record> record)
+{
+    return run(
+        client, std::move(engine), std::move(asked), std::move(record),
+        read_engine);
+}
+
+asio::awaitable<run_end> run_at_service(
+    http::client& client, http::address service, messages::dispatch asked,
+    std::shared_ptr<attempt_record> record)
+{
+    return run(
+        client, std::move(service), std::move(asked), std::move(record),
+        read_service);
+}
+
 } // namespace wagtailseam::sidecar
