Drop a queue length that nothing fills any more

Since entries learn loads from cells, upstream_view::queued stayed 0: the chooser added it and /status showed it as if it were measured. /status shows the queued tokens of the row instead; the choice is the same.

--- a/src/entry/admin.cpp
+++ b/src/entry/admin.cpp
@@ -82,7 +82,7 @@
              {"draining", view.draining},
              {"ready", view.upstream_ready},
              {"running", view.running},
-             {"queued", view.queued},
+             {"queued_tokens", view.queued_tokens.value()},
              {"incarnation", view.life.value()},
              {"weight_version", view.version.value()}});
     }
--- a/src/entry/chooser.cpp
+++ b/src/entry/chooser.cpp
@@ -9,7 +9,7 @@
 /// Attempts that were reported or that this entry has sent since.
 std::uint32_t load_of(const upstream_view& view) noexcept
 {
-    return std::max(view.running, view.own_attempts) + view.queued;
+    return std::max(view.running, view.own_attempts);
 }
 
 } // namespace
--- a/src/entry/upstream_directory.hpp
+++ b/src/entry/upstream_directory.hpp
@@ -32,7 +32,6 @@
     bool draining = false;
     bool upstream_ready = false;
     std::uint32_t running = 0;
-    std::uint32_t queued = 0;
     token_count queued_tokens;
     token_rate prefill_rate;
     weight_version version;
