--- a/programs/wagtailctl.hpp
+++ b/programs/wagtailctl.hpp
@@ -3,7 +3,7 @@
 #define WAGTAILSEAM_PROGRAMS_WAGTAILCTL_HPP
 
 #include "core/result.hpp"
-#include "platform/client.hpp"
+#include "table_service/client.hpp"
 
 #include <absl/flags/declare.h>
 #include <boost/asio/co_spawn.hpp>
@@ -79,7 +79,7 @@
         return std::move(*answer);
     }
 
-    [[nodiscard]] platform::client& client() noexcept { return client_; }
+    [[nodiscard]] table_service::client& client() noexcept { return client_; }
     [[nodiscard]] boost::asio::io_context& context() noexcept
     {
         return context_;
@@ -87,7 +87,7 @@
 
 private:
     boost::asio::io_context context_;
-    platform::client client_;
+    table_service::client client_;
 };
 
 /// Prints an error as a sentence, or as JSON with --json.
--- a/programs/wagtailctl_acceptance.cpp
+++ b/programs/wagtailctl_acceptance.cpp
@@ -41,10 +41,10 @@
 /// Reads one row of an acceptance.
 /// @errors platform_unavailable, config_not_found
 result<acceptance> read_acceptance(
-    platform_session& session, platform::row_key at)
+    platform_session& session, table_service::row_key at)
 {
     const auto answer = session.wait(session.client().read(std::move(at)));
-    const auto* const found = std::get_if<platform::found_row>(&answer);
+    const auto* const found = std::get_if<table_service::found_row>(&answer);
     if (found == nullptr)
     {
         return fail(result_code::platform_unavailable);
@@ -341,7 +341,7 @@
         std::string(configuration::configuration_table),
         std::string(configuration::history_prefix),
         configuration::history_row(config_number{after}).key, limit));
-    const auto* const rows = std::get_if<std::vector<platform::row>>(&answer);
+    const auto* const rows = std::get_if<std::vector<table_service::row>>(&answer);
     if (rows == nullptr)
     {
         print_error(result_code::platform_unavailable, "");
@@ -349,7 +349,7 @@
     }
     json list = json::array();
     std::string text;
-    for (const platform::row& each : *rows)
+    for (const table_service::row& each : *rows)
     {
         const auto row = configuration::decode_acceptance(each.value);
         if (row)
--- a/src/configuration/acceptance_core.cpp
+++ b/src/configuration/acceptance_core.cpp
@@ -40,7 +40,7 @@
 
 acceptance_command acceptance_core::on(const acceptance_event::row_read& event)
 {
-    const auto* const found = std::get_if<platform::found_row>(&event.answer);
+    const auto* const found = std::get_if<table_service::found_row>(&event.answer);
     if (found == nullptr)
     {
         return retry();
@@ -54,17 +54,17 @@
     BOOST_ASSERT(step_ == step::writing);
     return std::visit(
         overloaded{
-            [this](const platform::committed&) -> acceptance_command
+            [this](const table_service::committed&) -> acceptance_command
             { return accepted{row()}; },
             // The head moved: by another operator, or by an earlier write of
             // this acceptance whose answer was lost.
-            [this](const platform::conflicted&) -> acceptance_command
+            [this](const table_service::conflicted&) -> acceptance_command
             {
                 step_ = step::reading_back;
                 return command_of_step();
             },
-            [this](const platform::refused&) { return retry(); },
-            [this](const platform::answer_lost&) -> acceptance_command
+            [this](const table_service::refused&) { return retry(); },
+            [this](const table_service::answer_lost&) -> acceptance_command
             {
                 answer_lost_ = true;
                 step_ = step::reading_back;
@@ -79,9 +79,9 @@
     return command_of_step();
 }
 
-acceptance_command acceptance_core::head_read(const platform::found_row& head)
+acceptance_command acceptance_core::head_read(const table_service::found_row& head)
 {
-    head_version_ = head ? head->version : platform::absent_row;
+    head_version_ = head ? head->version : table_service::absent_row;
     if (head)
     {
         const auto current = decode_acceptance(head->value);
@@ -106,7 +106,7 @@
 }
 
 acceptance_command acceptance_core::read_back(
-    const platform::found_row& history)
+    const table_service::found_row& history)
 {
     if (!history)
     {
@@ -139,7 +139,7 @@
     case step::writing:
         return write_rows{
             {{{head_row(), head_version_, encode(row())},
-              {history_row(next), platform::absent_row, encode(row())}}}};
+              {history_row(next), table_service::absent_row, encode(row())}}}};
     case step::reading_back:
         return read_row{history_row(next)};
     }
--- a/src/configuration/acceptance_core.hpp
+++ b/src/configuration/acceptance_core.hpp
@@ -46,13 +46,13 @@
 /// Answer to read_row.
 struct row_read
 {
-    platform::read_answer answer;
+    table_service::read_answer answer;
 };
 
 /// Answer to write_rows.
 struct rows_written
 {
-    platform::transaction_answer answer;
+    table_service::transaction_answer answer;
 };
 
 /// A wait has ended.
@@ -74,12 +74,12 @@
 
 struct read_row
 {
-    platform::row_key at;
+    table_service::row_key at;
 };
 
 struct write_rows
 {
-    platform::transaction wanted;
+    table_service::transaction wanted;
 };
 
 struct wait_for
@@ -143,8 +143,8 @@
     acceptance_command on(const acceptance_event::rows_written& event);
     acceptance_command on(const acceptance_event::waited& event);
 
-    acceptance_command head_read(const platform::found_row& head);
-    acceptance_command read_back(const platform::found_row& history);
+    acceptance_command head_read(const table_service::found_row& head);
+    acceptance_command read_back(const table_service::found_row& history);
     [[nodiscard]] acceptance_command command_of_step() const;
     /// Waits and repeats the step, or gives up when attempts are spent.
     acceptance_command retry();
@@ -156,7 +156,7 @@
     step step_ = step::reading_head;
     /// The version of the head that has the number `request_.base`; the
     /// condition of every write, so that at most one of them takes effect.
-    platform::row_version head_version_;
+    table_service::row_version head_version_;
     /// Whether a write may have taken effect without our knowing.
     bool answer_lost_ = false;
     std::uint32_t attempts_ = 0;
--- a/src/configuration/rows.cpp
+++ b/src/configuration/rows.cpp
@@ -16,12 +16,12 @@
 
 } // namespace
 
-platform::row_key head_row()
+table_service::row_key head_row()
 {
     return {std::string(configuration_table), "head"};
 }
 
-platform::row_key history_row(config_number number)
+table_service::row_key history_row(config_number number)
 {
     std::ostringstream key;
     key << history_prefix << std::setw(number_width) << std::setfill('0')
--- a/src/configuration/rows.hpp
+++ b/src/configuration/rows.hpp
@@ -7,7 +7,7 @@
 #include "core/digest.hpp"
 #include "core/ids.hpp"
 #include "core/result.hpp"
-#include "platform/table.hpp"
+#include "table_service/table.hpp"
 
 #include <string>
 #include <string_view>
@@ -36,10 +36,10 @@
 inline constexpr std::string_view history_prefix = "history/";
 
 /// Returns where the latest acceptance stands.
-[[nodiscard]] platform::row_key head_row();
+[[nodiscard]] table_service::row_key head_row();
 
 /// Returns where the acceptance of a number stands; the keys sort by number.
-[[nodiscard]] platform::row_key history_row(config_number number);
+[[nodiscard]] table_service::row_key history_row(config_number number);
 
 /// Returns the name of a configuration's object.
 [[nodiscard]] std::string object_name(const digest& object);
--- a/src/configuration/slice.cmake
+++ b/src/configuration/slice.cmake
@@ -1,1 +1,1 @@
-wagtail_slice(configuration DEPENDS wagtail_settings wagtail_platform)
+wagtail_slice(configuration DEPENDS wagtail_settings wagtail_table_service)
--- a/src/configuration/test/acceptance_test.cpp
+++ b/src/configuration/test/acceptance_test.cpp
@@ -2,7 +2,7 @@
 #include "configuration/acceptance_core.hpp"
 #include "core/overloaded.hpp"
 #include "core/test/histories.hpp"
-#include "platform/memory_table.hpp"
+#include "table_service/memory_table.hpp"
 
 #include <array>
 #include <map>
@@ -36,7 +36,7 @@
         {
             step(choice % 3U, choice / 3U);
         }
-        for (const platform::transaction& late : delayed_)
+        for (const table_service::transaction& late : delayed_)
         {
             apply(late);
         }
@@ -125,7 +125,7 @@
     {
         if (choice % 4 == 0)
         {
-            return acceptance_event::row_read{platform::read_failed{}};
+            return acceptance_event::row_read{table_service::read_failed{}};
         }
         return acceptance_event::row_read{table_.read(command.at)};
     }
@@ -136,13 +136,13 @@
         switch (choice % 8)
         {
         case 0:
-            return acceptance_event::rows_written{platform::refused{}};
+            return acceptance_event::rows_written{table_service::refused{}};
         case 1:
             delayed_.push_back(command.wanted);
-            return acceptance_event::rows_written{platform::answer_lost{}};
+            return acceptance_event::rows_written{table_service::answer_lost{}};
         case 2:
             apply(command.wanted);
-            return acceptance_event::rows_written{platform::answer_lost{}};
+            return acceptance_event::rows_written{table_service::answer_lost{}};
         default:
             return acceptance_event::rows_written{apply(command.wanted)};
         }
@@ -186,10 +186,10 @@
         return std::nullopt;
     }
 
-    platform::transaction_answer apply(const platform::transaction& wanted)
+    table_service::transaction_answer apply(const table_service::transaction& wanted)
     {
         auto answer = table_.apply(wanted);
-        if (std::holds_alternative<platform::committed>(answer))
+        if (std::holds_alternative<table_service::committed>(answer))
         {
             const auto row = decode_acceptance(*wanted.writes[0].value);
             RC_ASSERT(row.has_value());
@@ -221,9 +221,9 @@
     }
 
     told& counts_;
-    platform::memory_table table_;
+    table_service::memory_table table_;
     std::set<std::string> objects_;
-    std::vector<platform::transaction> delayed_;
+    std::vector<table_service::transaction> delayed_;
     std::array<operator_state, 3> operators_;
     std::uint64_t nonces_ = 0;
     /// Every transaction that took effect, in order.
@@ -287,7 +287,7 @@
              .by = "someone"});
     }
 
-    platform::memory_table table_;
+    table_service::memory_table table_;
     int objects_ = 0;
 };
 
--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -3,6 +3,7 @@
 #define WAGTAILSEAM_CORE_CLOCK_HPP
 
 #include <chrono>
+#include <ctime>
 
 namespace wagtailseam
 {
@@ -18,11 +19,16 @@
     using time_point = std::chrono::time_point<monotonic_clock>;
     static constexpr bool is_steady = true;
 
-    /// Reads the operating system's steady clock. Only shells call this.
+    /// Reads the operating system's clock since boot. It counts the time for
+    /// which a VM was suspended, so that what was believed before is as old as
+    /// it is. Only shells call this.
     [[nodiscard]] static time_point now() noexcept
     {
+        timespec read{};
+        ::clock_gettime(CLOCK_BOOTTIME, &read);
         return time_point(std::chrono::duration_cast<duration>(
-            std::chrono::steady_clock::now().time_since_epoch()));
+            std::chrono::seconds(read.tv_sec) +
+            std::chrono::nanoseconds(read.tv_nsec)));
     }
 };
 
--- a/src/entry/filing_desk.cpp
+++ b/src/entry/filing_desk.cpp
@@ -83,7 +83,7 @@
 }
 
 void filing_desk::write(
-    platform::row_write write, bool urgent, write_callback callback)
+    table_service::row_write write, bool urgent, write_callback callback)
 {
     const filing::write_ticket ticket{++last_ticket_};
     callbacks_.emplace(ticket, std::move(callback));
--- a/src/entry/peers.hpp
+++ b/src/entry/peers.hpp
@@ -9,7 +9,7 @@
 #include "http/client.hpp"
 #include "identity/process_keys.hpp"
 #include "peer/peer.hpp"
-#include "platform/client.hpp"
+#include "table_service/client.hpp"
 #include "retry/retry_budget.hpp"
 #include "spread/runner.hpp"
 #include "telemetry/counters.hpp"
@@ -40,7 +40,7 @@
     peer::traffic traffic;
     http::client client;
     peer::control_client control;
-    platform::client platform;
+    table_service::client platform;
     upstream_directory upstreams;
     explain_ring explained;
     random_source random;
--- a/src/filing/claim_batcher.cpp
+++ b/src/filing/claim_batcher.cpp
@@ -29,7 +29,7 @@
 {
     if (waiting_.size() >= options_.max_waiting)
     {
-        return {write_answered{event.ticket, platform::refused{}}};
+        return {write_answered{event.ticket, table_service::refused{}}};
     }
     const duration window =
         event.urgent ? options_.urgent_window : options_.lazy_window;
@@ -85,7 +85,7 @@
 claim_batcher::batch claim_batcher::take_batch()
 {
     batch taken;
-    std::set<platform::row_key> rows;
+    std::set<table_service::row_key> rows;
     std::deque<waiting_write> left;
     for (waiting_write& waiting : waiting_)
     {
@@ -107,7 +107,7 @@
 {
     BOOST_ASSERT(!writes.empty());
     const transaction_number number{++last_number_};
-    platform::transaction transaction;
+    table_service::transaction transaction;
     for (const waiting_write& one : writes)
     {
         transaction.writes.push_back(one.write);
@@ -118,7 +118,7 @@
 
 void claim_batcher::share_answer(
     std::vector<batcher_command>& commands, batch writes,
-    const platform::transaction_answer& answer)
+    const table_service::transaction_answer& answer)
 {
     const auto answer_each = [&](const auto& make)
     {
@@ -129,19 +129,19 @@
     };
     std::visit(
         overloaded{
-            [&](const platform::committed& all)
+            [&](const table_service::committed& all)
             {
                 BOOST_ASSERT(all.versions.size() == writes.size());
                 answer_each(
-                    [&](std::size_t i) -> platform::transaction_answer
-                    { return platform::committed{{all.versions[i]}}; });
+                    [&](std::size_t i) -> table_service::transaction_answer
+                    { return table_service::committed{{all.versions[i]}}; });
             },
-            [&](const platform::conflicted& conflict)
+            [&](const table_service::conflicted& conflict)
             {
                 BOOST_ASSERT(conflict.index < writes.size());
                 commands.emplace_back(write_answered{
                     writes[conflict.index].ticket,
-                    platform::conflicted{0, conflict.current}});
+                    table_service::conflicted{0, conflict.current}});
                 writes.erase(
                     writes.begin() +
                     static_cast<std::ptrdiff_t>(conflict.index));
@@ -153,7 +153,7 @@
             [&](const auto& same_for_all)
             {
                 answer_each(
-                    [&](std::size_t) -> platform::transaction_answer
+                    [&](std::size_t) -> table_service::transaction_answer
                     { return same_for_all; });
             }},
         answer);
--- a/src/filing/claim_batcher.hpp
+++ b/src/filing/claim_batcher.hpp
@@ -4,7 +4,7 @@
 #define WAGTAILSEAM_FILING_CLAIM_BATCHER_HPP
 
 #include "core/clock.hpp"
-#include "platform/table.hpp"
+#include "table_service/table.hpp"
 
 #include <cstddef>
 #include <deque>
@@ -35,7 +35,7 @@
 struct write_wanted
 {
     write_ticket ticket;
-    platform::row_write write;
+    table_service::row_write write;
     /// Whether a caller waits for it.
     bool urgent = true;
 };
@@ -43,7 +43,7 @@
 struct transaction_answered
 {
     transaction_number number;
-    platform::transaction_answer answer;
+    table_service::transaction_answer answer;
 };
 
 struct batch_timer_due
@@ -56,14 +56,14 @@
 struct send_transaction
 {
     transaction_number number;
-    platform::transaction transaction;
+    table_service::transaction transaction;
 };
 
 /// The answer to one write, as if it had been sent alone.
 struct write_answered
 {
     write_ticket ticket;
-    platform::transaction_answer answer;
+    table_service::transaction_answer answer;
 };
 
 /// Send batch_timer_due at this time; replaces the time set before.
@@ -95,7 +95,7 @@
     struct waiting_write
     {
         write_ticket ticket;
-        platform::row_write write;
+        table_service::row_write write;
         mono_time due;
     };
     using batch = std::vector<waiting_write>;
@@ -112,7 +112,7 @@
     [[nodiscard]] batch take_batch();
     void share_answer(
         std::vector<batcher_command>& commands, batch writes,
-        const platform::transaction_answer& answer);
+        const table_service::transaction_answer& answer);
 
     claim_batcher_options options_;
     /// In the order of arrival; at most max_waiting.
--- a/src/filing/filing_core.cpp
+++ b/src/filing/filing_core.cpp
@@ -98,9 +98,9 @@
     arm(phase_until_);
 }
 
-void filing_core::looked(const platform::read_answer& answer, moment now)
+void filing_core::looked(const table_service::read_answer& answer, moment now)
 {
-    const auto* const found = std::get_if<platform::found_row>(&answer);
+    const auto* const found = std::get_if<table_service::found_row>(&answer);
     if (found != nullptr && *found)
     {
         examine(**found, now);
@@ -156,16 +156,16 @@
 }
 
 void filing_core::claim_written(
-    const platform::transaction_answer& answer, moment now)
+    const table_service::transaction_answer& answer, moment now)
 {
     std::visit(
         overloaded{
-            [this](const platform::committed& done)
+            [this](const table_service::committed& done)
             {
                 version_ = done.versions.at(0);
                 run();
             },
-            [this, now](const platform::conflicted& conflict)
+            [this, now](const table_service::conflicted& conflict)
             {
                 if (!conflict.current)
                 {
@@ -183,8 +183,8 @@
                     examine(*conflict.current, now);
                 }
             },
-            [this, now](const platform::refused&) { claim_refused(now); },
-            [this](const platform::answer_lost&)
+            [this, now](const table_service::refused&) { claim_refused(now); },
+            [this](const table_service::answer_lost&)
             {
                 note(filing_note::claim_read_back);
                 claim_in_doubt_ = true;
@@ -193,16 +193,16 @@
         answer);
 }
 
-void filing_core::claim_read(const platform::read_answer& answer, moment now)
+void filing_core::claim_read(const table_service::read_answer& answer, moment now)
 {
-    const auto* const found = std::get_if<platform::found_row>(&answer);
+    const auto* const found = std::get_if<table_service::found_row>(&answer);
     if (found == nullptr)
     {
         arm(std::min(now.mono + options_.read_back_interval, phase_until_));
         return;
     }
-    const platform::row_version current =
-        *found ? (*found)->version : platform::absent_row;
+    const table_service::row_version current =
+        *found ? (*found)->version : table_service::absent_row;
     if (*found && is_pending(**found))
     {
         version_ = current;
@@ -224,7 +224,7 @@
     }
 }
 
-bool filing_core::is_pending(const platform::row& found) const
+bool filing_core::is_pending(const table_service::row& found) const
 {
     const auto there = decode(found.value);
     return there && there.value().nonce == pending_.nonce &&
@@ -326,19 +326,19 @@
 }
 
 void filing_core::record_written(
-    const platform::transaction_answer& answer, moment now)
+    const table_service::transaction_answer& answer, moment now)
 {
     std::visit(
         overloaded{
-            [this](const platform::committed&) { end(); },
-            [this, now](const platform::conflicted& conflict)
+            [this](const table_service::committed&) { end(); },
+            [this, now](const table_service::conflicted& conflict)
             { record_conflicted(conflict.current, now); },
             [this, now](const auto&) { retry_record(now); }},
         answer);
 }
 
 void filing_core::record_conflicted(
-    const std::optional<platform::row>& current, moment now)
+    const std::optional<table_service::row>& current, moment now)
 {
     if (!current || is_pending(*current))
     {
@@ -382,9 +382,9 @@
 }
 
 void filing_core::look_for_abandoned(
-    const platform::read_answer& answer, moment now)
+    const table_service::read_answer& answer, moment now)
 {
-    const auto* const found = std::get_if<platform::found_row>(&answer);
+    const auto* const found = std::get_if<table_service::found_row>(&answer);
     if (found != nullptr && *found)
     {
         if (is_pending(**found))
@@ -451,7 +451,7 @@
 {
     commands_.emplace_back(write_row{
         next_operation(),
-        platform::row_write{
+        table_service::row_write{
             .at = request_.at, .expected = version_, .value = encode(pending_)},
         urgent});
 }
--- a/src/filing/filing_core.hpp
+++ b/src/filing/filing_core.hpp
@@ -44,7 +44,7 @@
 /// The call as the entry received it.
 struct filing_request
 {
-    platform::row_key at;
+    table_service::row_key at;
     digest request_digest;
     claim_nonce nonce;
     entry_id entry;
@@ -83,14 +83,14 @@
 struct row_written
 {
     operation_number operation;
-    platform::transaction_answer answer;
+    table_service::transaction_answer answer;
 };
 
 /// Answers read_row.
 struct row_read
 {
     operation_number operation;
-    platform::read_answer answer;
+    table_service::read_answer answer;
 };
 
 /// Answers ask_sidecar.
@@ -123,7 +123,7 @@
 struct write_row
 {
     operation_number operation;
-    platform::row_write write;
+    table_service::row_write write;
     /// Whether the caller waits for it.
     bool urgent = true;
 };
@@ -131,7 +131,7 @@
 struct read_row
 {
     operation_number operation;
-    platform::row_key at;
+    table_service::row_key at;
 };
 
 /// Send a tombstone for another call's attempt.
@@ -243,32 +243,32 @@
 
     // Claiming.
     void plan();
-    void claim_written(const platform::transaction_answer& answer, moment now);
-    void claim_read(const platform::read_answer& answer, moment now);
+    void claim_written(const table_service::transaction_answer& answer, moment now);
+    void claim_read(const table_service::read_answer& answer, moment now);
     void claim_refused(moment now);
-    void looked(const platform::read_answer& answer, moment now);
+    void looked(const table_service::read_answer& answer, moment now);
     void refuse_unplanned();
     void give_up_claim(moment now);
     void run();
     // Another call's row.
-    void examine(const platform::row& found, moment now);
+    void examine(const table_service::row& found, moment now);
     void wait_for(
-        const platform::row& found, const filing_record& record, moment now);
+        const table_service::row& found, const filing_record& record, moment now);
     void poll(moment now);
-    void waiting_read(const platform::read_answer& answer, moment now);
+    void waiting_read(const table_service::read_answer& answer, moment now);
     void end_waiting();
     void adopt(const attempt::run_outcome& outcome, moment now);
     void sidecar_could_not_tell(moment now);
     // Recording.
     void run_refused(result_code code, moment now);
     void record(filing_state state, result_code reason, moment now);
-    void record_written(const platform::transaction_answer& answer, moment now);
+    void record_written(const table_service::transaction_answer& answer, moment now);
     void record_conflicted(
-        const std::optional<platform::row>& current, moment now);
+        const std::optional<table_service::row>& current, moment now);
     void retry_record(moment now);
-    void look_for_abandoned(const platform::read_answer& answer, moment now);
+    void look_for_abandoned(const table_service::read_answer& answer, moment now);
 
-    [[nodiscard]] bool is_pending(const platform::row& found) const;
+    [[nodiscard]] bool is_pending(const table_service::row& found) const;
     void write_pending(bool urgent);
     void read();
     void answer(
@@ -289,7 +289,7 @@
     /// is the row's version then.
     bool holds_ = false;
     /// The row's version that the next write expects.
-    platform::row_version version_ = platform::absent_row;
+    table_service::row_version version_ = table_service::absent_row;
     /// The record last written or to be written.
     filing_record pending_;
     /// A claim was sent whose answer was lost, so it may yet take effect.
--- a/src/filing/filing_record.cpp
+++ b/src/filing/filing_record.cpp
@@ -133,7 +133,7 @@
 
 } // namespace
 
-platform::row_key filing_row(
+table_service::row_key filing_row(
     const workspace_id& workspace, const idempotency_key& key)
 {
     return {
--- a/src/filing/filing_record.hpp
+++ b/src/filing/filing_record.hpp
@@ -5,7 +5,7 @@
 
 #include "attempt/attempt_types.hpp"
 #include "core/result.hpp"
-#include "platform/table.hpp"
+#include "table_service/table.hpp"
 
 #include <optional>
 #include <string>
@@ -58,7 +58,7 @@
 
 /// Returns where the filing of a workspace's key is. Different pairs have
 /// different rows, whatever characters they hold.
-[[nodiscard]] platform::row_key filing_row(
+[[nodiscard]] table_service::row_key filing_row(
     const workspace_id& workspace, const idempotency_key& key);
 
 /// Encodes a record as JSON text in ASCII, which operators can read.
--- a/src/filing/filing_repeat.cpp
+++ b/src/filing/filing_repeat.cpp
@@ -27,7 +27,7 @@
     return note_names.at(static_cast<std::size_t>(note));
 }
 
-void filing_core::examine(const platform::row& found, moment now)
+void filing_core::examine(const table_service::row& found, moment now)
 {
     holds_ = false;
     version_ = found.version;
@@ -63,7 +63,7 @@
 }
 
 void filing_core::wait_for(
-    const platform::row& found, const filing_record& record, moment now)
+    const table_service::row& found, const filing_record& record, moment now)
 {
     const bool first = phase_ != phase::waiting;
     const bool changed = first || other_ != record;
@@ -114,9 +114,9 @@
     arm(std::min(now.mono + options_.max_poll, *wait_until_));
 }
 
-void filing_core::waiting_read(const platform::read_answer& answer, moment now)
+void filing_core::waiting_read(const table_service::read_answer& answer, moment now)
 {
-    const auto* const found = std::get_if<platform::found_row>(&answer);
+    const auto* const found = std::get_if<table_service::found_row>(&answer);
     if (found != nullptr && *found)
     {
         examine(**found, now);
--- a/src/filing/test/claim_batcher_test.cpp
+++ b/src/filing/test/claim_batcher_test.cpp
@@ -1,7 +1,7 @@
 // Writes that share transactions: answers as if each had been sent alone.
 #include "core/overloaded.hpp"
 #include "filing/claim_batcher.hpp"
-#include "platform/memory_table.hpp"
+#include "table_service/memory_table.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -20,9 +20,9 @@
 
 using std::chrono::milliseconds;
 
-platform::row_write claim(int key, const std::string& value)
+table_service::row_write claim(int key, const std::string& value)
 {
-    return {{"filing", std::to_string(key)}, platform::absent_row, value};
+    return {{"filing", std::to_string(key)}, table_service::absent_row, value};
 }
 
 /// A batcher before a table, in virtual time.
@@ -34,12 +34,12 @@
     }
 
     claim_batcher batcher;
-    platform::memory_table table;
+    table_service::memory_table table;
     mono_time now{};
     mono_time timer{};
     std::uint64_t transactions = 0;
     std::deque<send_transaction> sent;
-    std::map<std::uint64_t, platform::transaction_answer> answers;
+    std::map<std::uint64_t, table_service::transaction_answer> answers;
 
     void feed(const batcher_event& event)
     {
@@ -121,9 +121,9 @@
     want(2, 1);
     sut.pass(milliseconds(3));
     EXPECT_EQ(sut.transactions, 2U);
-    EXPECT_TRUE(std::holds_alternative<platform::committed>(sut.answers.at(1)));
+    EXPECT_TRUE(std::holds_alternative<table_service::committed>(sut.answers.at(1)));
     EXPECT_TRUE(
-        std::holds_alternative<platform::conflicted>(sut.answers.at(2)));
+        std::holds_alternative<table_service::conflicted>(sut.answers.at(2)));
 }
 
 TEST_F(claim_batcher_test, write_beyond_the_bound_is_refused)
@@ -133,7 +133,7 @@
         want(static_cast<std::uint64_t>(key), key);
     }
     ASSERT_EQ(sut.answers.size(), 1U);
-    EXPECT_TRUE(std::holds_alternative<platform::refused>(sut.answers.at(5)));
+    EXPECT_TRUE(std::holds_alternative<table_service::refused>(sut.answers.at(5)));
 }
 
 TEST_F(claim_batcher_test, lost_answer_is_lost_for_every_write)
@@ -143,11 +143,11 @@
     sut.now += milliseconds(3);
     sut.feed(batch_timer_due{});
     sut.feed(
-        transaction_answered{sut.sent.front().number, platform::answer_lost{}});
+        transaction_answered{sut.sent.front().number, table_service::answer_lost{}});
     EXPECT_TRUE(
-        std::holds_alternative<platform::answer_lost>(sut.answers.at(1)));
+        std::holds_alternative<table_service::answer_lost>(sut.answers.at(1)));
     EXPECT_TRUE(
-        std::holds_alternative<platform::answer_lost>(sut.answers.at(2)));
+        std::holds_alternative<table_service::answer_lost>(sut.answers.at(2)));
 }
 
 /// Of all inserts of a key exactly one commits, each write is answered once,
@@ -172,7 +172,7 @@
     std::map<int, std::string> winners;
     for (std::size_t ticket = 1; ticket <= keys.size(); ++ticket)
     {
-        if (std::holds_alternative<platform::committed>(sut.answers.at(ticket)))
+        if (std::holds_alternative<table_service::committed>(sut.answers.at(ticket)))
         {
             RC_ASSERT(winners.emplace(keys[ticket - 1], std::to_string(ticket))
                           .second);
--- a/src/filing/test/filing_core_test.cpp
+++ b/src/filing/test/filing_core_test.cpp
@@ -1,6 +1,6 @@
 // One call of a filing against a table whose answers the test chooses.
 #include "filing/filing_core.hpp"
-#include "platform/memory_table.hpp"
+#include "table_service/memory_table.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -18,13 +18,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const platform::row_key here{"filing", "w/k"};
+const table_service::row_key here{"filing", "w/k"};
 const attempt::run_outcome done{200, "coupon issued"};
 
 struct filing_core_test : testing::Test
 {
     random_source random{1};
-    platform::memory_table table;
+    table_service::memory_table table;
     mono_time now{};
     std::optional<filing_core> core;
     std::vector<filing_command> last;
@@ -80,7 +80,7 @@
         const auto asked = commanded<write_row>();
         ASSERT_TRUE(asked);
         (void)table.apply({{asked->write}});
-        feed(row_written{asked->operation, platform::answer_lost{}});
+        feed(row_written{asked->operation, table_service::answer_lost{}});
     }
 
     void read()
@@ -157,8 +157,8 @@
     const auto mine = commanded<write_row>();
     filing_record record = decode(*mine->write.value).value();
     record.nonce = claim_nonce{"other"};
-    (void)table.apply({{{here, platform::absent_row, encode(record)}}});
-    feed(row_written{mine->operation, platform::answer_lost{}});
+    (void)table.apply({{{here, table_service::absent_row, encode(record)}}});
+    feed(row_written{mine->operation, table_service::answer_lost{}});
     read();
     EXPECT_FALSE(commanded<run_filing>());
     EXPECT_FALSE(commanded<answer_caller>());
@@ -171,7 +171,7 @@
     EXPECT_EQ(answer_code(), result_code::filing_store_unavailable);
     EXPECT_TRUE(commanded<answer_caller>()->retry_after);
     const auto first_look = commanded<read_row>();
-    feed(row_read{first_look->operation, platform::found_row{}});
+    feed(row_read{first_look->operation, table_service::found_row{}});
     feed(row_written{claim->operation, table.apply({{claim->write}})});
     EXPECT_TRUE(last.empty());
     timer(seconds(1));
@@ -182,7 +182,7 @@
 
 TEST_F(filing_core_test, refused_write_is_answered_as_not_run_at_once)
 {
-    feed(row_written{commanded<write_row>()->operation, platform::refused{}});
+    feed(row_written{commanded<write_row>()->operation, table_service::refused{}});
     EXPECT_EQ(answer_code(), result_code::filing_store_unavailable);
     EXPECT_TRUE(commanded<filing_over>());
 }
--- a/src/filing/test/history_world.hpp
+++ b/src/filing/test/history_world.hpp
@@ -8,7 +8,7 @@
 #include "attempt/dispatch_gate.hpp"
 #include "filing/claim_batcher.hpp"
 #include "filing/filing_core.hpp"
-#include "platform/memory_table.hpp"
+#include "table_service/memory_table.hpp"
 
 #include <array>
 #include <functional>
@@ -218,7 +218,7 @@
     mono_time now_{};
     std::uint64_t sequence_ = 0;
     std::priority_queue<queued> queue_;
-    platform::memory_table table_;
+    table_service::memory_table table_;
     std::array<entry, entry_count> entries_;
     std::array<sidecar, sidecar_count> sidecars_;
     table_fault table_fault_ = table_fault::none;
--- /dev/null
+++ b/src/gateway/feeds.cpp
@@ -0,0 +1,320 @@
+// The loops that follow the platform.
+#include "gateway/feeds.hpp"
+
+#include "core/overloaded.hpp"
+#include "platform/documents.hpp"
+#include "platform/request_codec.hpp"
+#include "telemetry/event_log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace wagtailseam::gateway
+{
+namespace
+{
+
+constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
+
+/// A poll ends at least this often: a connection that fell silent is noticed
+/// within the time in which a configuration must be in force.
+constexpr std::chrono::milliseconds table_wait{2000};
+constexpr std::chrono::milliseconds retry_pause{250};
+/// Polls of cache stores; the trust of cache_view covers one of them.
+constexpr std::chrono::milliseconds cache_wait{1000};
+/// Gathers changes, so that a busy store is polled a few times a second.
+constexpr std::chrono::milliseconds cache_pause{250};
+constexpr std::chrono::milliseconds cache_timeout{1400};
+constexpr std::chrono::milliseconds cache_connect_timeout{300};
+/// Kept below the agreed time, for the way of requests already under way.
+constexpr std::chrono::milliseconds drain_margin{300};
+/// The list forgets live upstreams while the store is away, and has them back
+/// this long after its return.
+constexpr std::chrono::milliseconds relisting_time{2500};
+constexpr std::chrono::seconds unstable_time{3};
+constexpr unsigned status_ok = 200;
+
+} // namespace
+
+feeds::feeds(
+    asio::io_context& context, knowledge& known,
+    std::function<void()> configured)
+    : context_(context), known_(known), configured_(std::move(configured)),
+      store_(context.get_executor(), known.settings.store),
+      caches_(
+          context.get_executor(),
+          {.connect_timeout = cache_connect_timeout, .max_idle = 1})
+{
+}
+
+void feeds::start()
+{
+    asio::co_spawn(
+        context_,
+        follow_table(
+            platform::operator_table,
+            [this](const auto& rows, bool) { take_operator_rows(rows); }),
+        asio::detached);
+    asio::co_spawn(
+        context_,
+        follow_table(
+            platform::upstream_table, [this](const auto& rows, bool whole)
+            { take_upstream_rows(rows, whole); }),
+        asio::detached);
+}
+
+asio::awaitable<void> feeds::pause(duration time)
+{
+    asio::steady_timer timer(context_, time);
+    co_await timer.async_wait(completion);
+}
+
+asio::awaitable<void> feeds::follow_table(
+    std::string table, row_handler handle)
+{
+    std::optional<platform::store_version> seen;
+    std::optional<mono_time> lost_at;
+    for (;;)
+    {
+        const bool whole = !seen;
+        // Not one expression: g++ 12 miscompiles co_await in a conditional.
+        auto rows = result<platform::row_set>(fail(result_code::not_ready));
+        if (whole)
+        {
+            rows = co_await store_.read_table(table);
+        }
+        else
+        {
+            rows = co_await store_.changes(table, *seen, table_wait);
+        }
+        if (rows)
+        {
+            if (lost_at)
+            {
+                telemetry::event("dependency_regained")
+                    .with("table", table)
+                    .with("away_us", (monotonic_clock::now() - *lost_at).count());
+                lost_at.reset();
+            }
+            seen = rows.value().version;
+            handle(rows.value(), whole);
+            continue;
+        }
+        if (rows.error().code == result_code::platform_not_found)
+        {
+            seen.reset();
+            continue;
+        }
+        if (table == platform::upstream_table)
+        {
+            list_lost_ = monotonic_clock::now();
+        }
+        if (!lost_at)
+        {
+            lost_at = monotonic_clock::now();
+            telemetry::event("dependency_lost")
+                .with("table", table)
+                .with("detail", rows.error().detail)
+                .warning();
+        }
+        known_.metrics.count("wagtail_store_failures_total", "table", table);
+        co_await pause(retry_pause);
+    }
+}
+
+void feeds::take_operator_rows(const platform::row_set& rows)
+{
+    known_.operator_heard = monotonic_clock::now();
+    for (const auto& row : rows.rows)
+    {
+        auto read = platform::decode_operator_row(row);
+        if (!read)
+        {
+            telemetry::event("operator_row_ignored")
+                .with("row", row.key)
+                .with("detail", read.error().detail)
+                .warning();
+            continue;
+        }
+        std::visit(
+            overloaded{
+                [](std::monostate) {},
+                [this](serving::configuration& next)
+                { take_configuration(std::move(next)); },
+                [this](serving::weight_target& target)
+                { take_weight_target(target); }},
+            read.value());
+    }
+    first_operator_read_ = false;
+}
+
+void feeds::take_configuration(serving::configuration read)
+{
+    if (known_.routes && read.number <= known_.routes->source().number)
+    {
+        return;
+    }
+    telemetry::event("configuration_in_force")
+        .with("number", read.number)
+        .with("routes", read.routes.size())
+        .with("workspaces", read.workspaces.size())
+        .with("stores", read.stores.size());
+    known_.caches.use(read.stores);
+    for (const auto& store : read.stores)
+    {
+        if (followed_.insert(store.address).second)
+        {
+            asio::co_spawn(context_, follow_cache(store), asio::detached);
+        }
+    }
+    known_.routes =
+        std::make_shared<const serving::route_table>(std::move(read));
+    configured_();
+}
+
+void feeds::take_weight_target(const serving::weight_target& read)
+{
+    const auto known = known_.weight_targets.find(read.model);
+    if (known != known_.weight_targets.end() &&
+        known->second.version >= read.version)
+    {
+        return;
+    }
+    known_.weight_targets.insert_or_assign(
+        read.model,
+        known_target{
+            .version = read.version,
+            .learned = monotonic_clock::now(),
+            .at_start = first_operator_read_});
+    telemetry::event("weights_named")
+        .with("model", read.model)
+        .with("version", read.version);
+}
+
+duration feeds::missing_grace() const
+{
+    const bool unstable =
+        monotonic_clock::now() - list_lost_ < unstable_time;
+    const duration usual = known_.settings.bounds.drain - drain_margin;
+    return unstable ? std::max<duration>(usual, relisting_time) : usual;
+}
+
+void feeds::take_upstream_rows(
+    const platform::row_set& rows, bool whole_table)
+{
+    const mono_time now = monotonic_clock::now();
+    std::vector<serving::upstream> listed;
+    for (const auto& row : rows.rows)
+    {
+        auto entry = platform::decode_upstream_row(row);
+        if (entry && whole_table)
+        {
+            listed.push_back(std::move(*entry));
+        }
+        else if (entry)
+        {
+            telemetry::event("upstream_listed")
+                .with("upstream", entry->id)
+                .with("service", entry->service)
+                .with("address", entry->address)
+                .with("draining", entry->draining ? 1 : 0);
+            known_.upstreams.put(*entry);
+        }
+        else if (!row.value)
+        {
+            telemetry::event("upstream_unlisted")
+                .with("upstream", row.key)
+                .with("grace_us", missing_grace().count());
+            known_.upstreams.remove(
+                upstream_id{row.key}, missing_grace(), now);
+        }
+        else
+        {
+            telemetry::event("upstream_row_ignored")
+                .with("row", row.key)
+                .warning();
+        }
+    }
+    if (whole_table)
+    {
+        telemetry::event("upstreams_read").with("count", listed.size());
+        known_.upstreams.replace(listed, missing_grace(), now);
+        known_.upstreams_listed = true;
+    }
+}
+
+asio::awaitable<void> feeds::follow_cache(serving::cache_store store)
+{
+    bool reachable = true;
+    for (;;)
+    {
+        const bool answered = co_await poll_cache(store);
+        if (answered != reachable)
+        {
+            reachable = answered;
+            telemetry::event(
+                answered ? "cache_store_regained" : "cache_store_lost")
+                .with("store", store.service)
+                .with("address", store.address);
+        }
+        co_await pause(answered ? cache_pause : retry_pause);
+    }
+}
+
+asio::awaitable<bool> feeds::poll_cache(const serving::cache_store& store)
+{
+    const auto after = known_.caches.next_change(store.service);
+    auto asked = platform::cache_changes_call(after, cache_wait);
+    const auto answer = co_await caches_.fetch(
+        store.address, std::move(asked), cache_timeout);
+    if (!answer || answer.value().status != status_ok)
+    {
+        known_.caches.lost(store.service);
+        known_.metrics.count("wagtail_cache_store_failures_total");
+        co_return false;
+    }
+    const auto read = platform::decode_cache_changes(answer.value().body);
+    if (!read)
+    {
+        known_.caches.lost(store.service);
+        telemetry::event("cache_changes_malformed")
+            .with("store", store.service)
+            .with("detail", read.error().detail)
+            .warning();
+        co_return false;
+    }
+    const bool gap = known_.caches.take(
+        store.service, read.value(), monotonic_clock::now());
+    if (!gap)
+    {
+        co_return true;
+    }
+    co_return co_await list_cache(store);
+}
+
+asio::awaitable<bool> feeds::list_cache(const serving::cache_store& store)
+{
+    auto asked = platform::cache_content_call();
+    const auto answer = co_await caches_.fetch(
+        store.address, std::move(asked), cache_timeout);
+    const auto read =
+        answer ? platform::decode_cache_content(answer.value().body)
+               : result<serving::cache_content>(fail(answer.error().code));
+    if (!read)
+    {
+        known_.caches.lost(store.service);
+        co_return false;
+    }
+    known_.caches.take(store.service, read.value(), monotonic_clock::now());
+    telemetry::event("cache_content_read")
+        .with("store", store.service)
+        .with("parts", read.value().held.size());
+    co_return true;
+}
+
+} // namespace wagtailseam::gateway
--- /dev/null
+++ b/src/gateway/feeds.hpp
@@ -0,0 +1,63 @@
+// Keeps a gateway's knowledge up to date: the operator's table, the list of
+// upstreams, and the contents of the cache stores.
+#ifndef WAGTAILSEAM_GATEWAY_FEEDS_HPP
+#define WAGTAILSEAM_GATEWAY_FEEDS_HPP
+
+#include "gateway/knowledge.hpp"
+#include "http/client.hpp"
+#include "platform/store_client.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <set>
+#include <string>
+
+namespace wagtailseam::gateway
+{
+
+namespace asio = boost::asio;
+
+/// Follows the platform's tables and the cache stores until the io_context
+/// stops.
+class feeds
+{
+public:
+    /// @param configured called when another configuration is in force
+    feeds(
+        asio::io_context& context, knowledge& known,
+        std::function<void()> configured);
+    void start();
+
+private:
+    using row_handler = std::function<void(
+        const platform::row_set& rows, bool whole_table)>;
+
+    asio::awaitable<void> follow_table(std::string table, row_handler handle);
+    asio::awaitable<void> follow_cache(serving::cache_store store);
+    asio::awaitable<bool> poll_cache(const serving::cache_store& store);
+    asio::awaitable<bool> list_cache(const serving::cache_store& store);
+    asio::awaitable<void> pause(duration time);
+
+    void take_operator_rows(const platform::row_set& rows);
+    void take_upstream_rows(const platform::row_set& rows, bool whole_table);
+    void take_configuration(serving::configuration read);
+    void take_weight_target(const serving::weight_target& read);
+    [[nodiscard]] duration missing_grace() const;
+
+    asio::io_context& context_;
+    knowledge& known_;
+    std::function<void()> configured_;
+    platform::store_client store_;
+    http::client caches_;
+    /// The stores that a coroutine follows.
+    std::set<http::address> followed_;
+    /// When the list of upstreams last failed to answer.
+    mono_time list_lost_;
+    bool first_operator_read_ = true;
+};
+
+} // namespace wagtailseam::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/request_run.hpp
@@ -0,0 +1,105 @@
+// One caller's request: its route, its attempts at upstreams, its answer.
+#ifndef WAGTAILSEAM_GATEWAY_REQUEST_RUN_HPP
+#define WAGTAILSEAM_GATEWAY_REQUEST_RUN_HPP
+
+#include "gateway/knowledge.hpp"
+#include "http/client.hpp"
+#include "http/server.hpp"
+#include "serving/call.hpp"
+#include "serving/event_splitter.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace wagtailseam::gateway
+{
+
+namespace asio = boost::asio;
+
+/// Serves one exchange; lives as long as its coroutine.
+class request_run
+{
+public:
+    request_run(
+        knowledge& known, http::client& upstreams, http::exchange& exchange);
+
+    asio::awaitable<void> serve();
+
+private:
+    /// How an attempt leaves the request.
+    enum class next_step : std::uint8_t
+    {
+        finished,
+        try_again,
+        give_up,
+    };
+
+    [[nodiscard]] result<void> accept();
+    [[nodiscard]] result<void> find_route();
+    asio::awaitable<void> attempt_until_done();
+    asio::awaitable<next_step> attempt(serving::chosen_upstream target);
+    asio::awaitable<next_step> judge(
+        const serving::chosen_upstream& target, http::response_stream stream);
+    asio::awaitable<next_step> pass_on(
+        const serving::chosen_upstream& target, http::response_stream& stream);
+    asio::awaitable<bool> wait_for_upstream();
+    asio::awaitable<void> answer(
+        unsigned status, result_code code, duration retry_after);
+    asio::awaitable<void> give_final_answer();
+
+    [[nodiscard]] serving::upstream_query query() const;
+    [[nodiscard]] http::request message_for(
+        const serving::chosen_upstream& target);
+    [[nodiscard]] http::open_options options_for(
+        const serving::chosen_upstream& target);
+    [[nodiscard]] bool may_run_again() const;
+    [[nodiscard]] duration silence_limit() const;
+    [[nodiscard]] duration time_left() const;
+    void end_attempt(
+        const serving::chosen_upstream& target, const serving::attempt_end& how);
+    [[nodiscard]] next_step after_open_failure(
+        const serving::chosen_upstream& target, const error& why);
+    void log_end();
+
+    knowledge& known_;
+    http::client& upstreams_;
+    http::exchange& exchange_;
+
+    mono_time received_;
+    mono_time deadline_;
+    serving::call call_;
+    /// Keeps route_ and workspace_ alive when the configuration changes.
+    std::shared_ptr<const serving::route_table> routes_;
+    const serving::route* route_ = nullptr;
+    /// Null on routes that are open to all.
+    const serving::workspace* workspace_ = nullptr;
+    serving::service_id service_;
+
+    std::set<upstream_id> tried_;
+    /// Messages that left, whatever became of them.
+    std::uint32_t sent_ = 0;
+    /// Upstreams that may have begun to run it.
+    std::uint32_t runs_ = 0;
+    std::uint32_t waits_ = 0;
+    bool caller_gone_ = false;
+    bool head_sent_ = false;
+    bool silent_limit_used_ = false;
+    serving::event_splitter events_;
+    std::shared_ptr<http::call_control> control_;
+
+    // For the line at the end.
+    unsigned status_ = 0;
+    result_code code_ = result_code::ok;
+    std::optional<upstream_id> last_upstream_;
+    std::optional<duration> first_byte_;
+    std::string last_end_ = "none";
+};
+
+} // namespace wagtailseam::gateway
+
+#endif
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -3,13 +3,18 @@
 
 #include "http/endpoint.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
+#include <netinet/tcp.h>
 #include <optional>
 #include <unordered_map>
 
@@ -23,7 +28,17 @@
 using tcp = asio::ip::tcp;
 
 constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
-constexpr std::size_t read_buffer_bytes = std::size_t{16} * 1024;
+constexpr std::size_t read_buffer_bytes = std::size_t{4} * 1024;
+/// Longer bodies are written while the answer is read: a server may answer
+/// before it has read them, and a small window would block both sides.
+constexpr std::size_t concurrent_write_bytes = std::size_t{8} * 1024;
+/// Late answers to earlier requests that are dropped on one connection.
+constexpr int max_dropped_answers = 2;
+/// Part of a server's announced idle time for which a connection is kept.
+constexpr double keep_alive_share = 0.7;
+
+using user_timeout = asio::detail::socket_option::integer<
+    IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 struct connection
 {
@@ -34,11 +49,20 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    /// No request is being written.
+    bool written = true;
+    /// When it was kept, and how long it may be.
+    mono_time idle_since;
+    duration max_idle_time{};
 };
 
 /// A kept connection with bytes to read or an end was closed by its server.
 bool is_usable(connection& kept)
 {
+    if (monotonic_clock::now() - kept.idle_since > kept.max_idle_time)
+    {
+        return false;
+    }
     char byte = 0;
     boost::system::error_code failed;
     auto& socket = kept.stream.socket();
@@ -53,18 +77,59 @@
     message.version(11);
     message.method_string(asked.method);
     message.target(asked.target);
-    message.set(bhttp::field::host, to.value());
     for (const auto& [name, value] : asked.headers)
     {
-        message.set(name, value);
+        message.insert(name, value);
+    }
+    if (message.find(bhttp::field::host) == message.end())
+    {
+        message.set(bhttp::field::host, to.value());
     }
     message.body() = std::move(asked.body);
     message.prepare_payload();
     return message;
 }
 
+using message = bhttp::request<bhttp::string_body>;
+
+/// Writes a request while its answer may already be read.
+asio::awaitable<void> write_beside(
+    std::shared_ptr<connection> link, std::shared_ptr<message> sent)
+{
+    const auto [failed, size] =
+        co_await bhttp::async_write(link->stream, *sent, completion);
+    // The reader sees the failure too.
+    link->written = !failed;
+}
+
+/// Returns how long the server keeps an idle connection, at most `most`.
+duration announced_idle_time(const response& head, duration most)
+{
+    constexpr std::string_view label = "timeout=";
+    const auto field = head.header("Keep-Alive");
+    const auto at = field.find(label);
+    if (at == std::string_view::npos)
+    {
+        return most;
+    }
+    const auto digits = field.substr(at + label.size());
+    unsigned seconds = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    const std::chrono::duration<double> kept(seconds * keep_alive_share);
+    return std::min(most, std::chrono::duration_cast<duration>(kept));
+}
+
 } // namespace
 
+void call_control::cancel() noexcept
+{
+    cancelled_ = true;
+    if (close_)
+    {
+        close_();
+    }
+}
+
 struct client::state
 {
     state(const asio::any_io_executor& run_on, const client_options& asked)
@@ -74,20 +139,23 @@
 
     asio::any_io_executor executor;
     client_options options;
-    std::unordered_map<address, std::vector<std::unique_ptr<connection>>> idle;
+    std::unordered_map<address, std::vector<std::shared_ptr<connection>>> idle;
 
-    std::unique_ptr<connection> take_idle(const address& to);
-    void keep(const address& to, std::unique_ptr<connection> used);
-    asio::awaitable<result<std::unique_ptr<connection>>> connect(address to);
+    std::shared_ptr<connection> take_idle(const address& to);
+    void keep(
+        const address& to, std::shared_ptr<connection> used,
+        const response& head);
+    asio::awaitable<result<std::shared_ptr<connection>>> connect(
+        address to, const open_options& how);
 };
 
-std::unique_ptr<connection> client::state::take_idle(const address& to)
+std::shared_ptr<connection> client::state::take_idle(const address& to)
 {
-    auto& kept = idle[to];
-    while (!kept.empty())
+    const auto found = idle.find(to);
+    while (found != idle.end() && !found->second.empty())
     {
-        auto candidate = std::move(kept.back());
-        kept.pop_back();
+        auto candidate = std::move(found->second.back());
+        found->second.pop_back();
         if (is_usable(*candidate))
         {
             return candidate;
@@ -96,20 +164,25 @@
     return nullptr;
 }
 
-void client::state::keep(const address& to, std::unique_ptr<connection> used)
+void client::state::keep(
+    const address& to, std::shared_ptr<connection> used, const response& head)
 {
     auto& kept = idle[to];
+    std::erase_if(kept, [](const auto& other) { return !is_usable(*other); });
     if (kept.size() < options.max_idle)
     {
         used->stream.expires_never();
+        used->idle_since = monotonic_clock::now();
+        used->max_idle_time =
+            announced_idle_time(head, options.max_idle_time);
         kept.push_back(std::move(used));
     }
 }
 
-asio::awaitable<result<std::unique_ptr<connection>>> client::state::connect(
-    address to)
+asio::awaitable<result<std::shared_ptr<connection>>> client::state::connect(
+    address to, const open_options& how)
 {
-    auto kept = take_idle(to);
+    auto kept = how.fresh_connection ? nullptr : take_idle(to);
     if (kept)
     {
         co_return std::move(kept);
@@ -120,8 +193,10 @@
         co_return fail(
             result_code::upstream_unreachable, endpoint.error().detail);
     }
-    auto made = std::make_unique<connection>(executor);
-    made->stream.expires_after(options.connect_timeout);
+    auto made = std::make_shared<connection>(executor);
+    const bool own = how.connect_timeout > duration::zero();
+    made->stream.expires_after(
+        own ? how.connect_timeout : options.connect_timeout);
     const auto [failed] =
         co_await made->stream.async_connect(endpoint.value(), completion);
     if (failed)
@@ -129,7 +204,16 @@
         co_return fail(result_code::upstream_unreachable, failed.message());
     }
     boost::system::error_code ignored;
-    made->stream.socket().set_option(tcp::no_delay(true), ignored);
+    auto& socket = made->stream.socket();
+    socket.set_option(tcp::no_delay(true), ignored);
+    if (options.unacknowledged_timeout > duration::zero())
+    {
+        const auto limit =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                options.unacknowledged_timeout);
+        socket.set_option(
+            user_timeout(static_cast<int>(limit.count())), ignored);
+    }
     co_return std::move(made);
 }
 
@@ -137,33 +221,97 @@
 {
     std::weak_ptr<client::state> owner;
     address to;
-    std::unique_ptr<connection> link;
+    std::shared_ptr<connection> link;
     std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
     response head;
     std::array<char, read_buffer_bytes> bytes{};
+    bool head_only = false;
+
+    state() = default;
+    state(const state&) = delete;
+    state& operator=(const state&) = delete;
+    /// A request that is still being written ends with its stream.
+    ~state()
+    {
+        if (link && !link->written)
+        {
+            link->stream.close();
+        }
+    }
 
+    asio::awaitable<boost::system::error_code> receive_head(
+        std::size_t max_body_bytes);
+    asio::awaitable<boost::system::error_code> drop_body();
     void read_head();
     void finish();
 };
 
+/// Reads the head of the next answer that is not an interim one.
+asio::awaitable<boost::system::error_code> response_stream::state::receive_head(
+    std::size_t max_body_bytes)
+{
+    constexpr unsigned first_final_status = 200;
+    do
+    {
+        parser.emplace();
+        parser->body_limit(max_body_bytes);
+        parser->skip(head_only);
+        const auto [failed, size] = co_await bhttp::async_read_header(
+            link->stream, link->buffer, *parser, completion);
+        if (failed)
+        {
+            co_return failed;
+        }
+    } while (parser->get().result_int() < first_final_status);
+    read_head();
+    co_return boost::system::error_code{};
+}
+
+asio::awaitable<boost::system::error_code> response_stream::state::drop_body()
+{
+    while (!parser->is_done())
+    {
+        parser->get().body().data = bytes.data();
+        parser->get().body().size = bytes.size();
+        const auto [failed, size] = co_await bhttp::async_read_some(
+            link->stream, link->buffer, *parser, completion);
+        if (failed && failed != bhttp::error::need_buffer)
+        {
+            co_return failed;
+        }
+    }
+    co_return boost::system::error_code{};
+}
+
 void response_stream::state::read_head()
 {
     const auto& message = parser->get();
     head.status = message.result_int();
     head.content_type = std::string(message[bhttp::field::content_type]);
+    head.headers.clear();
     for (const auto& field : message)
     {
         head.headers.emplace_back(field.name_string(), field.value());
     }
+    head.stream_length.reset();
+    if (const auto length = parser->content_length())
+    {
+        head.stream_length = *length;
+    }
 }
 
 /// Gives the connection back once the body is read to its end.
 void response_stream::state::finish()
 {
     const auto pool = owner.lock();
-    if (pool && parser->get().keep_alive() && link->buffer.size() == 0)
+    if (pool && link->written && parser->get().keep_alive() &&
+        link->buffer.size() == 0)
+    {
+        pool->keep(to, std::move(link), head);
+    }
+    else if (!link->written)
     {
-        pool->keep(to, std::move(link));
+        link->stream.close();
     }
     link.reset();
 }
@@ -234,42 +382,92 @@
 
 client::~client() = default;
 
+void client::forget(const address& to)
+{
+    state_->idle.erase(to);
+}
+
 asio::awaitable<result<response_stream>> client::open(
     address to, request asked, duration timeout,
     std::function<void()> before_write)
 {
-    auto connected = co_await state_->connect(to);
+    return open(
+        std::move(to), std::move(asked),
+        open_options{
+            .timeout = timeout, .before_write = std::move(before_write)});
+}
+
+asio::awaitable<result<response_stream>> client::open(
+    address to, request asked, open_options how)
+{
+    auto connected = co_await state_->connect(to, how);
     if (!connected)
     {
         co_return boost::outcome_v2::failure(connected.error());
     }
+    if (how.control && how.control->cancelled())
+    {
+        co_return fail(result_code::upstream_unreachable, "cancelled");
+    }
     auto opened = std::make_unique<response_stream::state>();
     opened->owner = state_;
     opened->to = to;
     opened->link = std::move(connected).value();
-    auto& link = *opened->link;
-    const auto message = to_message(to, std::move(asked));
-    link.stream.expires_after(timeout);
-    if (before_write)
+    opened->head_only = asked.method == "HEAD";
+    const auto link = opened->link;
+    if (how.control)
     {
-        before_write();
+        how.control->close_ = [weak = std::weak_ptr(link)]
+        {
+            if (const auto live = weak.lock())
+            {
+                live->stream.close();
+            }
+        };
+    }
+    const std::string expected(asked.header(how.echoed_header));
+    const auto sent =
+        std::make_shared<message>(to_message(to, std::move(asked)));
+    link->stream.expires_after(how.timeout);
+    if (how.before_write)
+    {
+        how.before_write();
+    }
+    if (sent->body().size() > concurrent_write_bytes)
+    {
+        link->written = false;
+        asio::co_spawn(
+            state_->executor, write_beside(link, sent), asio::detached);
     }
-    const auto [write_failed, sent] =
-        co_await bhttp::async_write(link.stream, message, completion);
-    if (write_failed)
+    else
     {
-        co_return fail(result_code::stream_broken, write_failed.message());
+        const auto [failed, size] =
+            co_await bhttp::async_write(link->stream, *sent, completion);
+        if (failed)
+        {
+            co_return fail(result_code::stream_broken, failed.message());
+        }
     }
-    opened->parser.emplace();
-    opened->parser->body_limit(state_->options.max_body_bytes);
-    const auto [read_failed, received] = co_await bhttp::async_read_header(
-        link.stream, link.buffer, *opened->parser, completion);
-    if (read_failed)
+    for (int dropped = 0; dropped <= max_dropped_answers; ++dropped)
     {
-        co_return fail(result_code::stream_broken, read_failed.message());
+        const auto failed =
+            co_await opened->receive_head(state_->options.max_body_bytes);
+        if (failed)
+        {
+            co_return fail(result_code::stream_broken, failed.message());
+        }
+        const auto echo = opened->head.header(how.echoed_header);
+        if (expected.empty() || echo.empty() || echo == expected)
+        {
+            co_return response_stream(std::move(opened));
+        }
+        if (const auto broken = co_await opened->drop_body())
+        {
+            co_return fail(result_code::stream_broken, broken.message());
+        }
     }
-    opened->read_head();
-    co_return response_stream(std::move(opened));
+    co_return fail(
+        result_code::stream_broken, "only answers to earlier requests came");
 }
 
 asio::awaitable<result<response>> client::fetch(
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -23,9 +23,49 @@
     duration connect_timeout = std::chrono::milliseconds(500);
     /// Idle connections kept for each address.
     std::size_t max_idle = 64;
+    /// A connection that was idle for longer is not used again.
+    duration max_idle_time = std::chrono::seconds(60);
+    /// Breaks a connection whose bytes are not acknowledged for this time
+    /// (TCP_USER_TIMEOUT); zero leaves it to the operating system.
+    duration unacknowledged_timeout{};
     std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
 };
 
+/// Ends a call from outside, whatever it waits for.
+class call_control
+{
+public:
+    /// The call fails soon. A call that has not begun will not begin.
+    void cancel() noexcept;
+    [[nodiscard]] bool cancelled() const noexcept { return cancelled_; }
+
+private:
+    friend class client;
+
+    bool cancelled_ = false;
+    /// Closes the call's connection; empty while there is none.
+    std::function<void()> close_;
+};
+
+struct open_options
+{
+    /// Until the head of the answer is there.
+    duration timeout{};
+    /// Zero: that of the client.
+    duration connect_timeout{};
+    /// Never on a connection that served an earlier request: such a one may
+    /// have been closed unnoticed, and then the request's fate is unknown.
+    bool fresh_connection = false;
+    /// A header that the server repeats in its answer. An answer with another
+    /// value belongs to an earlier request and is dropped. Empty: none.
+    std::string echoed_header;
+    /// Called when a connection is there and the first byte is about to
+    /// leave; may be empty.
+    std::function<void()> before_write;
+    /// May be empty.
+    std::shared_ptr<call_control> control;
+};
+
 /// The body of an answer, read in parts.
 class response_stream
 {
@@ -70,14 +110,20 @@
     asio::awaitable<result<response>> fetch(
         address to, request asked, duration timeout);
 
-    /// Sends a request and returns once the head of its answer is there.
-    /// @param before_write called when a connection is there and the first
-    ///        byte is about to leave; may be empty
+    /// Sends a request and returns once the head of its answer is there. An
+    /// answer that comes before the request is sent whole is returned too;
+    /// its connection is not used again.
     /// @errors as fetch
+    asio::awaitable<result<response_stream>> open(
+        address to, request asked, open_options how);
+    /// @copydoc open
     asio::awaitable<result<response_stream>> open(
         address to, request asked, duration timeout,
         std::function<void()> before_write = {});
 
+    /// Closes the kept connections to an address.
+    void forget(const address& to);
+
     struct state;
 
 private:
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -5,6 +5,7 @@
 #include "core/strong_type.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -41,9 +42,12 @@
 struct response
 {
     unsigned status = 200;
+    /// Empty: the answer has no such field, or it is among the headers.
     std::string content_type = "application/json";
     header_list headers;
     std::string body;
+    /// Size of a body that is streamed; nothing when it is sent in chunks.
+    std::optional<std::uint64_t> stream_length;
 
     [[nodiscard]] std::string_view header(std::string_view name) const noexcept
     {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -46,10 +46,13 @@
 void copy_head(const response& from, Message& to)
 {
     to.result(from.status);
-    to.set(bhttp::field::content_type, from.content_type);
+    if (!from.content_type.empty())
+    {
+        to.set(bhttp::field::content_type, from.content_type);
+    }
     for (const auto& [name, value] : from.headers)
     {
-        to.set(name, value);
+        to.insert(name, value);
     }
 }
 
@@ -81,6 +84,7 @@
     tcp::acceptor acceptor;
     asio::steady_timer retry_timer;
     bool stopping = false;
+    bool closes_after_answers = false;
     std::size_t active = 0;
     /// Every open connection; those without an exchange are closed by a stop.
     std::set<exchange::connection*> connections;
@@ -88,6 +92,9 @@
     asio::awaitable<void> accept_loop();
     asio::awaitable<void> session(tcp::socket socket);
     asio::awaitable<bool> serve_one(exchange::connection& link);
+    asio::awaitable<boost::system::error_code> receive(
+        exchange::connection& link,
+        bhttp::request_parser<bhttp::string_body>& parser);
 };
 
 struct exchange::connection
@@ -105,7 +112,7 @@
 
     [[nodiscard]] bool closes_after_answer() const noexcept
     {
-        return !keep_alive || owner.stopping;
+        return !keep_alive || owner.stopping || owner.closes_after_answers;
     }
 };
 
@@ -127,6 +134,16 @@
     return !link_.closes_after_answer();
 }
 
+result<void> exchange::written(boost::system::error_code failed) noexcept
+{
+    if (!failed)
+    {
+        return boost::outcome_v2::success();
+    }
+    link_.keep_alive = false;
+    return fail(result_code::caller_gone, failed.message());
+}
+
 asio::awaitable<result<void>> exchange::send(response answer)
 {
     answered_ = true;
@@ -139,12 +156,7 @@
     link_.stream.expires_after(link_.owner.options.write_timeout);
     const auto [failed, sent] =
         co_await bhttp::async_write(link_.stream, message, completion);
-    if (failed)
-    {
-        link_.keep_alive = false;
-        co_return fail(result_code::caller_gone, failed.message());
-    }
-    co_return boost::outcome_v2::success();
+    co_return written(failed);
 }
 
 asio::awaitable<result<void>> exchange::begin_stream(response head)
@@ -154,17 +166,20 @@
     message.version(11);
     copy_head(head, message);
     message.keep_alive(keep_alive());
-    message.chunked(true);
+    chunked_ = !head.stream_length;
+    if (chunked_)
+    {
+        message.chunked(true);
+    }
+    else
+    {
+        message.content_length(*head.stream_length);
+    }
     bhttp::response_serializer<bhttp::empty_body> serializer(message);
     link_.stream.expires_after(link_.owner.options.write_timeout);
     const auto [failed, sent] = co_await bhttp::async_write_header(
         link_.stream, serializer, completion);
-    if (failed)
-    {
-        link_.keep_alive = false;
-        co_return fail(result_code::caller_gone, failed.message());
-    }
-    co_return boost::outcome_v2::success();
+    co_return written(failed);
 }
 
 asio::awaitable<result<void>> exchange::write(std::string_view part)
@@ -174,29 +189,36 @@
         co_return boost::outcome_v2::success();
     }
     link_.stream.expires_after(link_.owner.options.write_timeout);
-    const auto chunk =
-        bhttp::make_chunk(asio::const_buffer(part.data(), part.size()));
-    const auto [failed, sent] =
-        co_await asio::async_write(link_.stream, chunk, completion);
-    if (failed)
+    const asio::const_buffer bytes(part.data(), part.size());
+    if (!chunked_)
     {
-        link_.keep_alive = false;
-        co_return fail(result_code::caller_gone, failed.message());
+        const auto [failed, sent] =
+            co_await asio::async_write(link_.stream, bytes, completion);
+        co_return written(failed);
     }
-    co_return boost::outcome_v2::success();
+    const auto chunk = bhttp::make_chunk(bytes);
+    const auto [failed, sent] =
+        co_await asio::async_write(link_.stream, chunk, completion);
+    co_return written(failed);
 }
 
 asio::awaitable<result<void>> exchange::end_stream()
 {
+    if (!chunked_)
+    {
+        co_return boost::outcome_v2::success();
+    }
+    link_.stream.expires_after(link_.owner.options.write_timeout);
     const auto last = bhttp::make_chunk_last();
     const auto [failed, sent] =
         co_await asio::async_write(link_.stream, last, completion);
-    if (failed)
-    {
-        link_.keep_alive = false;
-        co_return fail(result_code::caller_gone, failed.message());
-    }
-    co_return boost::outcome_v2::success();
+    co_return written(failed);
+}
+
+void exchange::abort() noexcept
+{
+    link_.keep_alive = false;
+    link_.stream.close();
 }
 
 void exchange::on_caller_gone(std::function<void()> callback)
@@ -264,16 +286,52 @@
     link.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+asio::awaitable<boost::system::error_code> server::state::receive(
+    exchange::connection& link,
+    bhttp::request_parser<bhttp::string_body>& parser)
+{
+    constexpr std::size_t first_read_bytes = 4096;
+    const server_limits limits = options.limits;
+    parser.body_limit(limits.max_body_bytes);
+    parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+    if (link.buffer.size() == 0)
+    {
+        link.stream.expires_after(limits.idle_timeout);
+        const auto [failed, size] = co_await link.stream.async_read_some(
+            link.buffer.prepare(first_read_bytes), completion);
+        if (failed)
+        {
+            co_return failed;
+        }
+        link.buffer.commit(size);
+    }
+    link.stream.expires_after(limits.header_timeout);
+    const auto [head_failed, head_size] = co_await bhttp::async_read_header(
+        link.stream, link.buffer, parser, completion);
+    if (head_failed || parser.is_done())
+    {
+        co_return head_failed;
+    }
+    link.stream.expires_after(limits.idle_timeout);
+    if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue"))
+    {
+        constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+        const auto [failed, sent] = co_await asio::async_write(
+            link.stream, asio::buffer(go_on), completion);
+        if (failed)
+        {
+            co_return failed;
+        }
+    }
+    const auto [failed, size] = co_await bhttp::async_read(
+        link.stream, link.buffer, parser, completion);
+    co_return failed;
+}
+
 asio::awaitable<bool> server::state::serve_one(exchange::connection& link)
 {
     bhttp::request_parser<bhttp::string_body> parser;
-    parser.body_limit(options.max_body_bytes);
-    parser.header_limit(static_cast<std::uint32_t>(options.max_header_bytes));
-    link.stream.expires_after(options.idle_timeout);
-    const auto [failed, received] = co_await bhttp::async_read(
-        link.stream, link.buffer, parser, completion);
-    const bool too_large = failed == bhttp::error::body_limit ||
-                           failed == bhttp::error::header_limit;
+    const auto failed = co_await receive(link, parser);
     const bool malformed =
         failed &&
         failed.category() ==
@@ -288,15 +346,17 @@
     exchange current(link, failed ? request{} : to_request(parser.release()));
     if (failed)
     {
-        const auto code = too_large ? result_code::body_too_large
-                                    : result_code::malformed_http;
-        (void)co_await current.send(rejection(code, too_large ? 413 : 400));
+        const bool long_body = failed == bhttp::error::body_limit;
+        const bool long_head = failed == bhttp::error::header_limit;
+        const auto code = long_body || long_head ? result_code::body_too_large
+                                                 : result_code::malformed_http;
+        (void)co_await current.send(
+            rejection(code, long_body ? 413 : (long_head ? 431 : 400)));
         co_return false;
     }
     ++active;
     link.in_exchange = true;
     link.stream.expires_never();
-    std::exception_ptr raised;
     try
     {
         co_await serve(current);
@@ -351,6 +411,16 @@
     }
 }
 
+void server::apply(const server_limits& limits)
+{
+    state_->options.limits = limits;
+}
+
+void server::close_after_answers()
+{
+    state_->closes_after_answers = true;
+}
+
 std::size_t server::active() const noexcept
 {
     return state_->active;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/system/error_code.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -35,14 +36,19 @@
     /// Sends a whole answer. @errors caller_gone
     asio::awaitable<result<void>> send(response answer);
 
-    /// Sends the head of an answer whose body follows in parts.
+    /// Sends the head of an answer whose body follows in parts: in chunks, or
+    /// as they are when the head names a stream_length.
     asio::awaitable<result<void>> begin_stream(response head);
     /// Sends a part of the body; returns when the socket has taken it, so a
     /// slow reader slows the sender. @errors caller_gone
     asio::awaitable<result<void>> write(std::string_view part);
-    /// Ends the body.
+    /// Ends the body. @pre as many bytes as stream_length named were written
     asio::awaitable<result<void>> end_stream();
 
+    /// Breaks the connection off, so that an answer that has begun cannot be
+    /// taken for a whole one.
+    void abort() noexcept;
+
     /// Calls back once when the caller closes its side before the answer
     /// ends. Not called after the handler has ended.
     void on_caller_gone(std::function<void()> callback);
@@ -51,23 +57,36 @@
     [[nodiscard]] bool keep_alive() const noexcept;
 
 private:
+    /// Notes the end of a write.
+    result<void> written(boost::system::error_code failed) noexcept;
+
     connection& link_;
     request asked_;
     bool answered_ = false;
+    bool chunked_ = false;
     std::shared_ptr<std::function<void()>> gone_callback_;
 };
 
 using handler = std::function<asio::awaitable<void>(exchange&)>;
 
+/// What a client may send, and how long it may take.
+struct server_limits
+{
+    std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
+    std::size_t max_header_bytes = std::size_t{16} * 1024;
+    /// From the first byte of a request to the end of its headers.
+    duration header_timeout = std::chrono::seconds(30);
+    /// An idle connection, or one whose body stalls, is closed after this
+    /// time.
+    duration idle_timeout = std::chrono::seconds(75);
+};
+
 struct server_options
 {
     /// Where to listen, "host:port"; port 0 takes a free one.
     address listen;
-    std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
-    std::size_t max_header_bytes = std::size_t{16} * 1024;
+    server_limits limits;
     std::size_t max_connections = 20'000;
-    /// An idle connection is closed after this time.
-    duration idle_timeout = std::chrono::seconds(75);
     /// A write that does not progress for this time breaks the connection.
     duration write_timeout = std::chrono::seconds(30);
 };
@@ -84,6 +103,13 @@
     server(const server&) = delete;
     server& operator=(const server&) = delete;
 
+    /// Limits of requests that begin from now on.
+    void apply(const server_limits& limits);
+
+    /// Every answer from now on closes its connection; new connections are
+    /// still accepted.
+    void close_after_answers();
+
     /// Accepts no more connections and closes idle ones; exchanges in
     /// progress go on, and their connections close after the answer.
     void stop_accepting();
--- a/src/lease/lease_core.cpp
+++ b/src/lease/lease_core.cpp
@@ -50,7 +50,7 @@
     const open_call asked = call_;
     BOOST_ASSERT(asked == open_call::read || asked == open_call::read_back);
     call_ = open_call::none;
-    const auto* const found = std::get_if<platform::found_row>(&event.answer);
+    const auto* const found = std::get_if<table_service::found_row>(&event.answer);
     if (found == nullptr)
     {
         retry(asked);
@@ -72,11 +72,11 @@
     call_ = open_call::none;
     std::visit(
         overloaded{
-            [this](const platform::committed& done)
+            [this](const table_service::committed& done)
             { write_took_effect(done.versions.front()); },
             // A conflict on the lease's own row may be an earlier copy of this
             // write whose answer was lost.
-            [this](const platform::conflicted& conflict)
+            [this](const table_service::conflicted& conflict)
             {
                 if (conflict.index == 0)
                 {
@@ -85,8 +85,8 @@
                 }
                 write_failed(result_code::platform_conflict);
             },
-            [this](const platform::refused&) { retry(open_call::write); },
-            [this](const platform::answer_lost&)
+            [this](const table_service::refused&) { retry(open_call::write); },
+            [this](const table_service::answer_lost&)
             {
                 answer_lost_ = true;
                 make(open_call::read_back);
@@ -111,9 +111,9 @@
     next_call_at_ = std::min(next_call_at_, now_);
 }
 
-void lease_core::observe(const platform::found_row& found)
+void lease_core::observe(const table_service::found_row& found)
 {
-    const auto version = found ? found->version : platform::absent_row;
+    const auto version = found ? found->version : table_service::absent_row;
     if (!row_known_ || version != version_)
     {
         version_seen_ = now_;
@@ -142,7 +142,7 @@
     return record_.holder.empty() || own || silent;
 }
 
-void lease_core::read_back(const platform::found_row& found)
+void lease_core::read_back(const table_service::found_row& found)
 {
     if (found)
     {
@@ -153,7 +153,7 @@
             return;
         }
     }
-    const auto version = found ? found->version : platform::absent_row;
+    const auto version = found ? found->version : table_service::absent_row;
     if (version == version_)
     {
         // Not in effect, though it may yet be: the same write, with the same
@@ -170,7 +170,7 @@
     row_known_ = false;
 }
 
-void lease_core::write_took_effect(platform::row_version version)
+void lease_core::write_took_effect(table_service::row_version version)
 {
     version_ = version;
     record_ = next_record_;
--- a/src/lease/lease_core.hpp
+++ b/src/lease/lease_core.hpp
@@ -6,7 +6,7 @@
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "core/result.hpp"
-#include "platform/table.hpp"
+#include "table_service/table.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -35,7 +35,7 @@
 };
 
 /// Returns where the lease of a duty stands.
-[[nodiscard]] platform::row_key lease_row(std::string_view duty);
+[[nodiscard]] table_service::row_key lease_row(std::string_view duty);
 [[nodiscard]] std::string encode(const lease_record& record);
 /// @errors malformed_message
 [[nodiscard]] result<lease_record> decode_lease(std::string_view value);
@@ -64,19 +64,19 @@
 
 struct row_read
 {
-    platform::read_answer answer;
+    table_service::read_answer answer;
 };
 
 struct rows_written
 {
-    platform::transaction_answer answer;
+    table_service::transaction_answer answer;
 };
 
 /// The duty wants rows written, if and only if the lease is still held.
 struct write_wanted
 {
     std::uint64_t id = 0;
-    std::vector<platform::row_write> writes;
+    std::vector<table_service::row_write> writes;
 };
 
 /// The process leaves and gives the lease up.
@@ -92,12 +92,12 @@
 
 struct read_row
 {
-    platform::row_key at;
+    table_service::row_key at;
 };
 
 struct write_rows
 {
-    platform::transaction wanted;
+    table_service::transaction wanted;
 };
 
 /// The duty may act; its orders carry the number.
@@ -177,9 +177,9 @@
     void on(const lease_event::write_wanted& event);
     void on(const lease_event::release_wanted& event);
 
-    void observe(const platform::found_row& found);
-    void read_back(const platform::found_row& found);
-    void write_took_effect(platform::row_version version);
+    void observe(const table_service::found_row& found);
+    void read_back(const table_service::found_row& found);
+    void write_took_effect(table_service::row_version version);
     void write_failed(result_code code);
     void next_call();
     void send_write(lease_record next);
@@ -201,7 +201,7 @@
 
     /// The row as last read or written.
     lease_record record_;
-    platform::row_version version_;
+    table_service::row_version version_;
     bool row_known_ = false;
     /// When this version was first seen.
     mono_time version_seen_{};
@@ -214,7 +214,7 @@
     /// The open write: what it makes of the row, when it was first sent, the
     /// duty's write that rides on it.
     lease_record next_record_;
-    platform::transaction open_write_;
+    table_service::transaction open_write_;
     mono_time sent_at_{};
     /// Whether an answer to the open write was lost.
     bool answer_lost_ = false;
--- a/src/lease/lease_record.cpp
+++ b/src/lease/lease_record.cpp
@@ -6,7 +6,7 @@
 namespace wagtailseam::lease
 {
 
-platform::row_key lease_row(std::string_view duty)
+table_service::row_key lease_row(std::string_view duty)
 {
     return {"lease", std::string(duty)};
 }
--- a/src/lease/slice.cmake
+++ b/src/lease/slice.cmake
@@ -1,1 +1,1 @@
-wagtail_slice(lease DEPENDS wagtail_platform)
+wagtail_slice(lease DEPENDS wagtail_table_service)
--- a/src/lease/test/lease_test.cpp
+++ b/src/lease/test/lease_test.cpp
@@ -2,7 +2,7 @@
 #include "core/test/histories.hpp"
 #include "lease/lease_core.hpp"
 #include "lease/order_fence.hpp"
-#include "platform/memory_table.hpp"
+#include "table_service/memory_table.hpp"
 
 #include <algorithm>
 #include <array>
@@ -213,37 +213,37 @@
             const bool works = platform_up_ && choice % 8 != 0;
             feed(
                 i, lease_event::row_read{
-                       works ? platform::read_answer(table_.read(read->at))
-                             : platform::read_answer(platform::read_failed{})});
+                       works ? table_service::read_answer(table_.read(read->at))
+                             : table_service::read_answer(table_service::read_failed{})});
             return;
         }
         const auto& wanted = std::get<write_rows>(open).wanted;
         feed(i, lease_event::rows_written{answer_write(wanted, choice)});
     }
 
-    platform::transaction_answer answer_write(
-        const platform::transaction& wanted, unsigned choice)
+    table_service::transaction_answer answer_write(
+        const table_service::transaction& wanted, unsigned choice)
     {
         if (!platform_up_ || choice % 8 == 0)
         {
-            return platform::refused{};
+            return table_service::refused{};
         }
         if (choice % 8 == 1)
         {
             delayed_.push_back(wanted);
-            return platform::answer_lost{};
+            return table_service::answer_lost{};
         }
         auto answer = apply(wanted);
         return choice % 8 == 2
-                   ? platform::transaction_answer(platform::answer_lost{})
+                   ? table_service::transaction_answer(table_service::answer_lost{})
                    : answer;
     }
 
-    platform::transaction_answer apply(const platform::transaction& wanted)
+    table_service::transaction_answer apply(const table_service::transaction& wanted)
     {
         const auto before = table_.read(lease_row("weights"));
         auto answer = table_.apply(wanted);
-        if (!std::holds_alternative<platform::committed>(answer))
+        if (!std::holds_alternative<table_service::committed>(answer))
         {
             return answer;
         }
@@ -356,9 +356,9 @@
     totals& counts_;
     milliseconds now_{};
     std::array<process, 3> all_;
-    platform::memory_table table_;
+    table_service::memory_table table_;
     bool platform_up_ = true;
-    std::vector<platform::transaction> delayed_;
+    std::vector<table_service::transaction> delayed_;
     std::vector<order> orders_;
     /// Keeps its floor over restarts of its sidecar.
     order_fence engine_;
@@ -391,10 +391,10 @@
     lease_core_fixture()
     {
         (void)core_.handle(lease_event::tick{}, now_);
-        (void)core_.handle(lease_event::row_read{platform::found_row{}}, now_);
+        (void)core_.handle(lease_event::row_read{table_service::found_row{}}, now_);
         (void)core_.handle(
             lease_event::rows_written{
-                platform::committed{{platform::row_version{1}}}},
+                table_service::committed{{table_service::row_version{1}}}},
             now_);
     }
 
@@ -432,11 +432,11 @@
         lease_event::write_wanted{7, {{{"duty", "step"}, std::nullopt, "x"}}},
         now_);
     (void)core_.handle(
-        lease_event::rows_written{platform::answer_lost{}}, now_);
+        lease_event::rows_written{table_service::answer_lost{}}, now_);
     const lease_record other{
         .holder = "b", .life = incarnation{2}, .fencing = fencing_number{2}};
-    const platform::row row{
-        lease_row("weights"), encode(other), platform::row_version{9}};
+    const table_service::row row{
+        lease_row("weights"), encode(other), table_service::row_version{9}};
     const auto done = commanded<write_done>(lease_event::row_read{row});
     ASSERT_TRUE(done.has_value());
     EXPECT_EQ(done->code, result_code::platform_answer_lost);
--- a/src/platform/slice.cmake
+++ /dev/null
@@ -1,1 +0,0 @@
-wagtail_slice(platform DEPENDS wagtail_core wagtail_http)
--- a/src/quarantine/quarantine_core.cpp
+++ b/src/quarantine/quarantine_core.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-platform::row_key key_of(const fingerprint& prompt)
+table_service::row_key key_of(const fingerprint& prompt)
 {
     return {std::string(table_name), prompt.value().hex()};
 }
@@ -122,18 +122,18 @@
     };
     std::visit(
         overloaded{
-            [&](const platform::committed& done) { on_committed(done); },
-            [&](const platform::conflicted& conflict)
+            [&](const table_service::committed& done) { on_committed(done); },
+            [&](const table_service::conflicted& conflict)
             {
                 on_conflict(conflict);
                 again();
             },
-            [&](const platform::refused&)
+            [&](const table_service::refused&)
             {
                 again();
                 later();
             },
-            [&](const platform::answer_lost&)
+            [&](const table_service::answer_lost&)
             {
                 again();
                 later();
@@ -142,7 +142,7 @@
     pending_.reset();
 }
 
-void quarantine_core::on_committed(const platform::committed& done)
+void quarantine_core::on_committed(const table_service::committed& done)
 {
     BOOST_ASSERT(done.versions.size() == pending_->records.size());
     for (std::size_t i = 0; i < done.versions.size(); ++i)
@@ -151,7 +151,7 @@
     }
 }
 
-void quarantine_core::on_conflict(const platform::conflicted& conflict)
+void quarantine_core::on_conflict(const table_service::conflicted& conflict)
 {
     BOOST_ASSERT(conflict.index < pending_->records.size());
     const fingerprint& prompt = pending_->records[conflict.index].first;
@@ -168,7 +168,7 @@
     }
 }
 
-void quarantine_core::learn(const platform::row& row, wall_time now)
+void quarantine_core::learn(const table_service::row& row, wall_time now)
 {
     const auto record = decode(row.value);
     const digest key = digest::from_hex(row.at.key);
@@ -186,15 +186,15 @@
 {
     scanning_ = false;
     const auto* const rows =
-        std::get_if<std::vector<platform::row>>(&got.answer);
+        std::get_if<std::vector<table_service::row>>(&got.answer);
     if (rows == nullptr)
     {
         next_scan_ =
             now.mono + jitter(options_.retry_wait, options_.retry_wait, random);
         return;
     }
-    platform::transaction deletes;
-    for (const platform::row& row : *rows)
+    table_service::transaction deletes;
+    for (const table_service::row& row : *rows)
     {
         learn(row, now.wall);
         const auto record = decode(row.value);
@@ -250,7 +250,7 @@
         const auto version = versions_.find(prompt);
         asked.rows.writes.push_back(
             {key_of(prompt),
-             version == versions_.end() ? platform::absent_row
+             version == versions_.end() ? table_service::absent_row
                                         : version->second,
              encode(*record)});
         pending_->records.emplace_back(prompt, *record);
--- a/src/quarantine/quarantine_core.hpp
+++ b/src/quarantine/quarantine_core.hpp
@@ -4,7 +4,7 @@
 #define WAGTAILSEAM_QUARANTINE_QUARANTINE_CORE_HPP
 
 #include "core/random_source.hpp"
-#include "platform/table.hpp"
+#include "table_service/table.hpp"
 #include "quarantine/strike_board.hpp"
 
 #include <cstdint>
@@ -65,12 +65,12 @@
 struct write_answered
 {
     std::uint64_t write = 0;
-    platform::transaction_answer answer;
+    table_service::transaction_answer answer;
 };
 
 struct scan_answered
 {
-    platform::scan_answer answer;
+    table_service::scan_answer answer;
 };
 
 /// Sent by the shell every 100 ms or so.
@@ -85,7 +85,7 @@
 struct write
 {
     std::uint64_t number = 0;
-    platform::transaction rows;
+    table_service::transaction rows;
 };
 
 /// Read the whole table and answer with scan_answered.
@@ -140,9 +140,9 @@
         const scan_answered& got, random_source& random, quarantine_time now);
     void on(const tick& time, random_source& random, quarantine_time now);
 
-    void on_committed(const platform::committed& done);
-    void on_conflict(const platform::conflicted& conflict);
-    void learn(const platform::row& row, wall_time now);
+    void on_committed(const table_service::committed& done);
+    void on_conflict(const table_service::conflicted& conflict);
+    void learn(const table_service::row& row, wall_time now);
     void flush(mono_time now);
     [[nodiscard]] duration jitter(
         duration least, duration spread, random_source& random) const;
@@ -151,7 +151,7 @@
     strike_board board_;
     /// Versions of the rows as last seen; bounded by forgetting with the
     /// board.
-    std::map<fingerprint, platform::row_version> versions_;
+    std::map<fingerprint, table_service::row_version> versions_;
     std::set<fingerprint> dirty_;
     std::optional<pending_write> pending_;
     std::uint64_t last_write_ = 0;
--- a/src/quarantine/slice.cmake
+++ b/src/quarantine/slice.cmake
@@ -1,1 +1,1 @@
-wagtail_slice(quarantine DEPENDS wagtail_platform)
+wagtail_slice(quarantine DEPENDS wagtail_table_service)
--- a/src/quarantine/test/poison_world.hpp
+++ b/src/quarantine/test/poison_world.hpp
@@ -4,7 +4,7 @@
 #define WAGTAILSEAM_QUARANTINE_TEST_POISON_WORLD_HPP
 
 #include "core/overloaded.hpp"
-#include "platform/memory_table.hpp"
+#include "table_service/memory_table.hpp"
 #include "quarantine/quarantine_core.hpp"
 
 #include <algorithm>
@@ -86,7 +86,7 @@
     /// Bystanders that were left without an answer.
     int bystanders_unfinished = 0;
     std::vector<fingerprint> bystanders;
-    platform::memory_table table;
+    table_service::memory_table table;
     bool table_down = false;
 
 private:
@@ -199,7 +199,7 @@
 
     void on_write(std::size_t entry, const write& asked)
     {
-        platform::transaction_answer answer = platform::refused{};
+        table_service::transaction_answer answer = table_service::refused{};
         if (!table_down)
         {
             answer = table.apply(asked.rows);
@@ -208,7 +208,7 @@
             lost_in_row_ = loses ? lost_in_row_ + 1 : 0;
             if (loses)
             {
-                answer = platform::answer_lost{};
+                answer = table_service::answer_lost{};
             }
         }
         post(entry, write_answered{asked.number, answer});
@@ -216,7 +216,7 @@
 
     void on_scan(std::size_t entry)
     {
-        platform::scan_answer answer = platform::read_failed{};
+        table_service::scan_answer answer = table_service::read_failed{};
         if (!table_down)
         {
             answer = table.scan(table_name, "");
--- a/src/quarantine/test/quarantine_test.cpp
+++ b/src/quarantine/test/quarantine_test.cpp
@@ -206,7 +206,7 @@
     world tested({.entries = 2, .homes = 0, .resends = 1});
     tested.run();
     tested.wait(seconds(5));
-    const platform::row_key at{
+    const table_service::row_key at{
         std::string(table_name), prompt("poison").value().hex()};
     const auto row = tested.table.read(at);
     ASSERT_TRUE(row.has_value());
--- a/src/runtime/program.cpp
+++ b/src/runtime/program.cpp
@@ -6,6 +6,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <spdlog/spdlog.h>
@@ -60,12 +61,25 @@
 
 } // namespace
 
+void parse_command_line(int argc, char** argv, const std::string& usage)
+{
+    absl::SetProgramUsageMessage(usage);
+    absl::FlagsUsageConfig config;
+    // By default only flags of a file named like the program are listed.
+    const auto is_own = [](absl::string_view file)
+    { return file.find("absl/") == absl::string_view::npos; };
+    config.contains_help_flags = is_own;
+    config.contains_helpshort_flags = is_own;
+    absl::SetFlagsUsageConfig(config);
+    absl::ParseCommandLine(argc, argv);
+}
+
 int run_daemon(int argc, char** argv, const daemon_options& options)
 {
-    absl::SetProgramUsageMessage(
+    parse_command_line(
+        argc, argv,
         options.name + " --settings FILE [--check]\n\nSettings:\n" +
-        settings::reference(options.settings));
-    absl::ParseCommandLine(argc, argv);
+            settings::reference(options.settings));
     const std::string path = absl::GetFlag(FLAGS_settings);
     if (path.empty())
     {
--- a/src/runtime/program.hpp
+++ b/src/runtime/program.hpp
@@ -33,6 +33,9 @@
 /// Reads a whole file. @errors missing_field when it cannot be read
 [[nodiscard]] result<std::string> read_file(const std::string& path);
 
+/// Parses the command line; --help lists the program's own flags.
+void parse_command_line(int argc, char** argv, const std::string& usage);
+
 /// What a daemon is.
 struct daemon_options
 {
--- /dev/null
+++ b/src/serving/cache_view.hpp
@@ -0,0 +1,146 @@
+// What a process believes of the contents of the cache stores, from their
+// change feeds, which are late and have gaps.
+#ifndef WAGTAILSEAM_SERVING_CACHE_VIEW_HPP
+#define WAGTAILSEAM_SERVING_CACHE_VIEW_HPP
+
+#include "core/clock.hpp"
+#include "serving/cache_plan.hpp"
+#include "serving/call.hpp"
+#include "serving/configuration.hpp"
+#include "serving/ids.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace wagtailseam::serving
+{
+
+/// A part under its salt, as a store keeps it.
+struct kept_part
+{
+    cache_salt salt;
+    part_id part;
+
+    friend bool operator==(const kept_part&, const kept_part&) = default;
+    friend auto operator<=>(const kept_part&, const kept_part&) = default;
+};
+
+/// A part was completed in a store, or freed.
+struct cache_change
+{
+    kept_part part;
+    /// Tokens held from now on; zero when it was freed.
+    token_count tokens;
+};
+
+/// A store's answer to a poll for changes.
+struct cache_changes
+{
+    store_epoch epoch;
+    /// Where the next poll continues.
+    std::uint64_t next = 0;
+    /// Some changes are no longer told.
+    bool gap = false;
+    /// The upstreams' clock when it answered, in ms.
+    std::optional<std::int64_t> clock_ms;
+    std::vector<cache_change> changes;
+};
+
+/// All that a store holds whole, and what it holds in part.
+struct cache_content
+{
+    store_epoch epoch;
+    std::uint64_t next = 0;
+    std::vector<cache_change> held;
+    /// Being written, or broken off.
+    std::vector<kept_part> unfinished;
+};
+
+struct cache_view_options
+{
+    /// A store that has not answered a poll for this time is not fetched
+    /// from: it may have restarted empty, and then a part under the same name
+    /// may be half written. Covers one poll and its way.
+    duration trust = std::chrono::milliseconds(1600);
+    /// A fetch that takes longer is thrown away; far above a transfer at the
+    /// slowest link seen, and below half of the latency targets.
+    duration fetch_limit = std::chrono::milliseconds(700);
+    /// A part that this process sent to be kept is not sent again for this
+    /// time, in which the store reports it or it was lost.
+    duration save_pause = std::chrono::seconds(2);
+};
+
+/// Belief about all stores. Not thread-safe.
+class cache_view
+{
+public:
+    explicit cache_view(const cache_view_options& options = {});
+
+    /// Takes the stores of a configuration; what is known of those that stay
+    /// is kept.
+    void use(const std::vector<cache_store>& stores);
+
+    /// Takes the answer to a poll. A new epoch or a gap drops all that was
+    /// known. @return whether the whole content must be read again
+    bool take(
+        const service_id& store, const cache_changes& answer, mono_time now);
+    /// Takes a whole content.
+    void take(
+        const service_id& store, const cache_content& answer, mono_time now);
+    /// The connection to a store broke: it may have restarted.
+    void lost(const service_id& store);
+
+    /// Returns where the next poll of a store continues.
+    [[nodiscard]] std::uint64_t next_change(const service_id& store) const;
+
+    /// Plans the fetches and saves of a prompt. Parts after one that no store
+    /// holds are not fetched: an upstream cannot use them. The last part, that
+    /// of the request itself, is neither fetched nor kept.
+    [[nodiscard]] cache_plan plan(
+        const prompt& wanted, const cache_salt& salt,
+        const data_centre_id& near, mono_time now);
+
+    [[nodiscard]] std::size_t parts_known() const noexcept;
+
+private:
+    struct store_state
+    {
+        cache_store store;
+        /// Nothing before the first answer, and after the connection broke.
+        std::optional<store_epoch> epoch;
+        std::uint64_t next = 0;
+        mono_time heard;
+        std::map<kept_part, token_count> held;
+    };
+
+    [[nodiscard]] bool trusted(const store_state& of, mono_time now) const;
+    [[nodiscard]] const store_state* holder(
+        const kept_part& part, token_count tokens, const data_centre_id& near,
+        mono_time now) const;
+    [[nodiscard]] const store_state* home(
+        const kept_part& part, mono_time now) const;
+    void remember_save(const kept_part& part, mono_time now);
+
+    cache_view_options options_;
+    std::vector<store_state> stores_;
+    /// The upstreams' clock less this process's, in ms.
+    std::optional<std::int64_t> clock_offset_ms_;
+    /// When this process last had a part saved; old entries are dropped.
+    std::map<kept_part, mono_time> saved_;
+};
+
+/// Returns the salt of a prompt: of the weights that make the cache, and of
+/// the workspace when it shares with no other.
+[[nodiscard]] cache_salt salt_of(
+    const model_id& model, weight_version version, const workspace& of);
+
+/// Returns the weights' version of a salt, nothing for a foreign one.
+[[nodiscard]] std::optional<weight_version> version_of(const cache_salt& salt);
+
+} // namespace wagtailseam::serving
+
+#endif
--- /dev/null
+++ b/src/serving/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(serving DEPENDS wagtail_core wagtail_http wagtail_retry wagtail_routing)
--- /dev/null
+++ b/src/serving/upstream.hpp
@@ -0,0 +1,31 @@
+// An upstream as the platform's list names it.
+#ifndef WAGTAILSEAM_SERVING_UPSTREAM_HPP
+#define WAGTAILSEAM_SERVING_UPSTREAM_HPP
+
+#include "http/message.hpp"
+#include "serving/ids.hpp"
+
+#include <map>
+
+namespace wagtailseam::serving
+{
+
+struct upstream
+{
+    upstream_id id;
+    service_id service;
+    http::address address;
+    data_centre_id data_centre;
+    /// Requests that it runs at once.
+    std::uint32_t slots = 1;
+    /// Takes no new work.
+    bool draining = false;
+    /// The weights that it runs, by model; empty for plain services.
+    std::map<model_id, weight_version> weights;
+
+    friend bool operator==(const upstream&, const upstream&) = default;
+};
+
+} // namespace wagtailseam::serving
+
+#endif
--- /dev/null
+++ b/src/serving/upstream_book.cpp
@@ -0,0 +1,333 @@
+// Costs of upstreams and experience with them.
+#include "serving/upstream_book.hpp"
+
+#include "core/overloaded.hpp"
+#include "routing/rendezvous.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wagtailseam::serving
+{
+namespace
+{
+
+std::optional<weight_version> version_at(
+    const upstream& entry, const model_id& model)
+{
+    const auto found = entry.weights.find(model);
+    return found == entry.weights.end() ? std::nullopt
+                                        : std::optional(found->second);
+}
+
+duration scaled(duration time, double factor)
+{
+    return duration(static_cast<duration::rep>(
+        static_cast<double>(time.count()) * factor));
+}
+
+} // namespace
+
+std::string_view name(const attempt_end& end) noexcept
+{
+    return std::visit(
+        overloaded{
+            [](const connect_failed&) { return "connect_failed"; },
+            [](const refused_busy&) { return "refused"; },
+            [](const misdirected&) { return "misdirected"; },
+            [](const weights_differ&) { return "weights_differ"; },
+            [](const answered&) { return "answered"; },
+            [](const failed_run&) { return "failed"; },
+            [](const stayed_silent&) { return "silent"; },
+            [](const abandoned&) { return "abandoned"; }},
+        end);
+}
+
+upstream_book::upstream_book(const upstream_book_options& options)
+    : options_(options)
+{
+}
+
+void upstream_book::replace(
+    const std::vector<upstream>& listed, duration grace, mono_time now)
+{
+    std::set<upstream_id> named;
+    for (const auto& entry : listed)
+    {
+        named.insert(entry.id);
+        put(entry);
+    }
+    for (auto& [id, state] : known_)
+    {
+        if (!named.contains(id) && !state.gone_at)
+        {
+            state.gone_at = now + grace;
+        }
+    }
+}
+
+void upstream_book::put(const upstream& listed)
+{
+    auto& state = known_[listed.id];
+    state.entry = listed;
+    state.gone_at.reset();
+}
+
+void upstream_book::remove(
+    const upstream_id& id, duration grace, mono_time now)
+{
+    const auto found = known_.find(id);
+    if (found != known_.end() && !found->second.gone_at)
+    {
+        found->second.gone_at = now + grace;
+    }
+    std::erase_if(
+        known_,
+        [&](const auto& entry)
+        {
+            const auto& state = entry.second;
+            return state.gone_at && state.in_flight == 0 &&
+                   now > *state.gone_at;
+        });
+}
+
+bool upstream_book::has_left(const known_upstream& of, mono_time now) noexcept
+{
+    return of.entry.draining || (of.gone_at && now >= *of.gone_at);
+}
+
+bool upstream_book::usable(const known_upstream& of, mono_time now) const
+{
+    if (has_left(of, now))
+    {
+        return false;
+    }
+    if (!of.paused_until)
+    {
+        return true;
+    }
+    // After a pause one request tries, the others wait for its outcome.
+    return now >= *of.paused_until &&
+           (of.connect_failures == 0 || of.in_flight == 0);
+}
+
+double upstream_book::failures(const known_upstream& of, mono_time now) const
+{
+    const double half_lives =
+        static_cast<double>((now - of.failures_at).count()) /
+        static_cast<double>(options_.forgiveness.count());
+    return of.failure_share * std::exp2(-std::max(0.0, half_lives));
+}
+
+duration upstream_book::cost(
+    const known_upstream& of, const upstream_query& wanted, mono_time now) const
+{
+    duration sum = options_.wait_per_request * of.in_flight;
+    sum += scaled(options_.failure_cost, failures(of, now));
+    if (of.entry.data_centre == wanted.near)
+    {
+        sum -= options_.near_bonus;
+    }
+    if (wanted.model)
+    {
+        const auto version = version_at(of.entry, *wanted.model);
+        if (!version || *version < wanted.wanted)
+        {
+            sum += options_.old_weights_cost;
+        }
+    }
+    return sum;
+}
+
+std::optional<chosen_upstream> upstream_book::choose(
+    const upstream_query& wanted, random_source& random, mono_time now)
+{
+    struct candidate
+    {
+        const known_upstream* of = nullptr;
+        duration cost{};
+        std::uint64_t home = 0;
+    };
+    std::vector<candidate> candidates;
+    for (const auto& [id, state] : known_)
+    {
+        if (state.entry.service != wanted.service ||
+            wanted.tried.contains(id) || !usable(state, now))
+        {
+            continue;
+        }
+        if (wanted.only_wanted && wanted.model)
+        {
+            const auto version = version_at(state.entry, *wanted.model);
+            if (version && *version < wanted.wanted)
+            {
+                continue;
+            }
+        }
+        const std::uint64_t home =
+            wanted.home_key != 0
+                ? routing::rendezvous_weight(
+                      wanted.home_key, routing::stable_hash(id.value()))
+                : 0;
+        // A small random part keeps entries with equal knowledge apart.
+        const duration noise(static_cast<duration::rep>(random.below(1000)));
+        candidates.push_back({&state, cost(state, wanted, now) + noise, home});
+    }
+    if (candidates.empty())
+    {
+        return std::nullopt;
+    }
+    if (wanted.home_key != 0)
+    {
+        auto& home = *std::max_element(
+            candidates.begin(), candidates.end(),
+            [](const auto& a, const auto& b) { return a.home < b.home; });
+        home.cost -= options_.home_bonus;
+    }
+    const auto best = std::min_element(
+        candidates.begin(), candidates.end(),
+        [](const auto& a, const auto& b) { return a.cost < b.cost; });
+    const known_upstream& of = *best->of;
+    return chosen_upstream{
+        .entry = of.entry,
+        .weights = wanted.model ? version_at(of.entry, *wanted.model)
+                                : std::nullopt,
+        .cost = best->cost,
+        .in_flight = of.in_flight,
+        .failure_share = failures(of, now)};
+}
+
+bool upstream_book::serves(const service_id& service, mono_time now) const
+{
+    return std::any_of(
+        known_.begin(), known_.end(),
+        [&](const auto& entry)
+        {
+            return entry.second.entry.service == service &&
+                   usable(entry.second, now);
+        });
+}
+
+duration upstream_book::retry_after(
+    const service_id& service, mono_time now) const
+{
+    duration least = options_.max_connect_pause;
+    for (const auto& [id, state] : known_)
+    {
+        if (state.entry.service == service && state.paused_until &&
+            !state.entry.draining)
+        {
+            least = std::min(
+                least, std::max(duration::zero(), *state.paused_until - now));
+        }
+    }
+    return std::max(least, options_.busy_pause);
+}
+
+bool upstream_book::leaves(const upstream_id& id, mono_time now) const
+{
+    const auto found = known_.find(id);
+    if (found == known_.end())
+    {
+        return true;
+    }
+    return has_left(found->second, now);
+}
+
+void upstream_book::begin(const upstream_id& id)
+{
+    const auto found = known_.find(id);
+    if (found != known_.end())
+    {
+        ++found->second.in_flight;
+    }
+}
+
+void upstream_book::end(
+    const upstream_id& id, const attempt_end& how, mono_time now)
+{
+    const auto found = known_.find(id);
+    if (found != known_.end() && found->second.in_flight > 0)
+    {
+        --found->second.in_flight;
+    }
+    note(id, how, now);
+}
+
+void upstream_book::add_experience(known_upstream& of, double failure, mono_time now)
+{
+    const double before = failures(of, now);
+    of.failure_share =
+        before + options_.failure_weight * (failure - before);
+    of.failures_at = now;
+}
+
+void upstream_book::pause(known_upstream& of, duration time, mono_time now)
+{
+    of.paused_until = now + time;
+}
+
+void upstream_book::note(
+    const upstream_id& id, const attempt_end& how, mono_time now)
+{
+    const auto found = known_.find(id);
+    if (found == known_.end())
+    {
+        return;
+    }
+    auto& of = found->second;
+    std::visit(
+        overloaded{
+            [&](const connect_failed&)
+            {
+                constexpr std::uint32_t max_doublings = 8;
+                const auto doublings =
+                    std::min(of.connect_failures, max_doublings);
+                ++of.connect_failures;
+                pause(
+                    of,
+                    std::min(
+                        options_.max_connect_pause,
+                        options_.connect_pause * (1U << doublings)),
+                    now);
+            },
+            [&](const refused_busy& refused)
+            {
+                pause(
+                    of,
+                    refused.retry_after > duration::zero()
+                        ? std::min(
+                              refused.retry_after, options_.max_connect_pause)
+                        : options_.busy_pause,
+                    now);
+            },
+            [&](const misdirected&) { of.gone_at = now; },
+            [&](const weights_differ& differs)
+            {
+                if (differs.running)
+                {
+                    of.entry.weights.insert_or_assign(
+                        differs.model, *differs.running);
+                }
+            },
+            [&](const answered&)
+            {
+                add_experience(of, 0, now);
+                of.connect_failures = 0;
+                of.paused_until.reset();
+            },
+            [&](const failed_run&) { add_experience(of, 1, now); },
+            [&](const stayed_silent&) { add_experience(of, 1, now); },
+            [](const abandoned&) {}},
+        how);
+}
+
+std::optional<weight_version> upstream_book::weights(
+    const upstream_id& id, const model_id& model) const
+{
+    const auto found = known_.find(id);
+    return found == known_.end() ? std::nullopt
+                                 : version_at(found->second.entry, model);
+}
+
+} // namespace wagtailseam::serving
--- /dev/null
+++ b/src/serving/upstream_book.hpp
@@ -0,0 +1,196 @@
+// What an entry knows of the upstreams: the platform's list, and its own
+// experience with each. Chooses where a request goes.
+#ifndef WAGTAILSEAM_SERVING_UPSTREAM_BOOK_HPP
+#define WAGTAILSEAM_SERVING_UPSTREAM_BOOK_HPP
+
+#include "core/clock.hpp"
+#include "core/random_source.hpp"
+#include "serving/upstream.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace wagtailseam::serving
+{
+
+/// The connection was refused or not made in time; nothing was sent.
+struct connect_failed
+{
+};
+
+/// The upstream said that it did not run the request.
+struct refused_busy
+{
+    /// When it wants to be asked again; zero: it did not say.
+    duration retry_after{};
+};
+
+/// Another upstream has the address now.
+struct misdirected
+{
+};
+
+/// Its weights are others than expected.
+struct weights_differ
+{
+    model_id model;
+    /// What it runs, when it said so.
+    std::optional<weight_version> running;
+};
+
+/// The whole answer came.
+struct answered
+{
+};
+
+/// It broke off, answered with a failure, or with bytes that are no answer.
+struct failed_run
+{
+};
+
+/// Nothing came in the time in which an answer was expected.
+struct stayed_silent
+{
+};
+
+/// Ended for reasons that say nothing about the upstream.
+struct abandoned
+{
+};
+
+using attempt_end = std::variant<
+    connect_failed, refused_busy, misdirected, weights_differ, answered,
+    failed_run, stayed_silent, abandoned>;
+
+/// Names the kind of end for logs and counters.
+[[nodiscard]] std::string_view name(const attempt_end& end) noexcept;
+
+struct upstream_book_options
+{
+    /// Pause after a first failed connection; doubles with each further one.
+    duration connect_pause = std::chrono::milliseconds(400);
+    duration max_connect_pause = std::chrono::seconds(4);
+    /// Pause after a refusal that names no time.
+    duration busy_pause = std::chrono::milliseconds(120);
+    /// Weight of one attempt in the share of failures.
+    double failure_weight = 0.3;
+    /// Time in which half of a failure share is forgiven.
+    duration forgiveness = std::chrono::seconds(6);
+    /// Preference, as waiting time, of an upstream of the own data centre.
+    duration near_bonus = std::chrono::milliseconds(4);
+    /// Preference of the home of a prompt's cached parts.
+    duration home_bonus = std::chrono::milliseconds(25);
+    /// Expected wait behind each request of this entry at an upstream, per
+    /// slot share.
+    duration wait_per_request = std::chrono::milliseconds(12);
+    /// Cost of a certain failure: an answer that comes late or never.
+    duration failure_cost = std::chrono::milliseconds(3000);
+    /// Cost of older weights: what such an answer loses.
+    duration old_weights_cost = std::chrono::milliseconds(200);
+};
+
+/// What is looked for.
+struct upstream_query
+{
+    service_id service;
+    data_centre_id near;
+    /// Of the prompt's longest shared part; 0 for requests without one.
+    std::uint64_t home_key = 0;
+    /// With a model: upstreams that run these weights come first.
+    std::optional<model_id> model;
+    weight_version wanted;
+    /// Older weights than wanted are not used at all.
+    bool only_wanted = false;
+    /// Not these again.
+    std::set<upstream_id> tried;
+};
+
+/// An upstream chosen for one attempt.
+struct chosen_upstream
+{
+    upstream entry;
+    /// Of the query's model, as far as known.
+    std::optional<weight_version> weights;
+    /// What decided, for the log.
+    duration cost{};
+    std::uint32_t in_flight = 0;
+    double failure_share = 0;
+};
+
+/// Not thread-safe. Memory and time: linear in the upstreams.
+class upstream_book
+{
+public:
+    explicit upstream_book(const upstream_book_options& options = {});
+
+    /// Puts the whole list in place of what was listed; those not in it are
+    /// used for the grace and then no more.
+    void replace(
+        const std::vector<upstream>& listed, duration grace, mono_time now);
+    /// Takes a new or changed entry.
+    void put(const upstream& listed);
+    /// The list no longer names it. It is used for the grace, since the list
+    /// forgets live upstreams while the store is away.
+    void remove(const upstream_id& id, duration grace, mono_time now);
+
+    /// Returns the upstream with the least expected cost, nothing when none
+    /// may be used.
+    [[nodiscard]] std::optional<chosen_upstream> choose(
+        const upstream_query& wanted, random_source& random, mono_time now);
+
+    /// Whether any upstream of the service takes work.
+    [[nodiscard]] bool serves(const service_id& service, mono_time now) const;
+    /// Time until some upstream of the service may be tried again.
+    [[nodiscard]] duration retry_after(
+        const service_id& service, mono_time now) const;
+    /// Whether the upstream leaves, or has left, so that it takes no new work.
+    [[nodiscard]] bool leaves(const upstream_id& id, mono_time now) const;
+
+    void begin(const upstream_id& id);
+    /// Takes the end of an attempt that began.
+    void end(const upstream_id& id, const attempt_end& how, mono_time now);
+    /// Notes experience while the attempt goes on.
+    void note(const upstream_id& id, const attempt_end& how, mono_time now);
+
+    /// Returns the version that an upstream runs, as far as known.
+    [[nodiscard]] std::optional<weight_version> weights(
+        const upstream_id& id, const model_id& model) const;
+
+    [[nodiscard]] std::size_t size() const noexcept { return known_.size(); }
+
+private:
+    struct known_upstream
+    {
+        upstream entry;
+        /// Not used from then on; set when the list does not name it.
+        std::optional<mono_time> gone_at;
+        std::uint32_t in_flight = 0;
+        /// At `failures_at`; decays from then on. Within [0, 1].
+        double failure_share = 0;
+        mono_time failures_at;
+        std::uint32_t connect_failures = 0;
+        /// Not used before; at most one trial when it ends.
+        std::optional<mono_time> paused_until;
+    };
+
+    [[nodiscard]] static bool has_left(
+        const known_upstream& of, mono_time now) noexcept;
+    [[nodiscard]] bool usable(const known_upstream& of, mono_time now) const;
+    [[nodiscard]] double failures(const known_upstream& of, mono_time now) const;
+    [[nodiscard]] duration cost(
+        const known_upstream& of, const upstream_query& wanted, mono_time now) const;
+    void add_experience(known_upstream& of, double failure, mono_time now);
+    void pause(known_upstream& of, duration time, mono_time now);
+
+    upstream_book_options options_;
+    std::map<upstream_id, known_upstream> known_;
+};
+
+} // namespace wagtailseam::serving
+
+#endif
--- a/src/sidecar/app.hpp
+++ b/src/sidecar/app.hpp
@@ -8,7 +8,7 @@
 #include "http/server.hpp"
 #include "identity/process_keys.hpp"
 #include "peer/peer.hpp"
-#include "platform/client.hpp"
+#include "table_service/client.hpp"
 #include "sidecar/attempt_record.hpp"
 #include "sidecar/cell_member.hpp"
 #include "sidecar/kept_cache_agent.hpp"
@@ -83,7 +83,7 @@
     telemetry::metrics metrics_;
     peer::traffic traffic_;
     http::client client_;
-    platform::client platform_;
+    table_service::client platform_;
     peer::control_client control_client_;
     attempt::dispatch_gate gate_;
     upstream_monitor monitor_;
--- a/src/spread/runner.cpp
+++ b/src/spread/runner.cpp
@@ -61,7 +61,7 @@
 
 runner::runner(
     asio::io_context& context, peer::control_client& control,
-    platform::client& platform, telemetry::metrics& metrics,
+    table_service::client& platform, telemetry::metrics& metrics,
     runner_options options)
     : context_(context), control_(control), platform_(platform),
       metrics_(metrics), options_(std::move(options)),
@@ -249,7 +249,7 @@
 {
     metrics_.count("wagtail_config_head_reads_total");
     const auto answer = co_await platform_.read(configuration::head_row());
-    const auto* const found = std::get_if<platform::found_row>(&answer);
+    const auto* const found = std::get_if<table_service::found_row>(&answer);
     if (found == nullptr)
     {
         metrics_.count("wagtail_config_head_failures_total");
--- a/src/spread/runner.hpp
+++ b/src/spread/runner.hpp
@@ -8,7 +8,7 @@
 #include "http/message.hpp"
 #include "messages/wagtail.hpp"
 #include "peer/peer.hpp"
-#include "platform/client.hpp"
+#include "table_service/client.hpp"
 #include "telemetry/counters.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -53,7 +53,7 @@
 public:
     runner(
         asio::io_context& context, peer::control_client& control,
-        platform::client& platform, telemetry::metrics& metrics,
+        table_service::client& platform, telemetry::metrics& metrics,
         runner_options options);
 
     void start();
@@ -109,7 +109,7 @@
 
     asio::io_context& context_;
     peer::control_client& control_;
-    platform::client& platform_;
+    table_service::client& platform_;
     telemetry::metrics& metrics_;
     runner_options options_;
     configuration::spread_core core_;
--- a/src/spread/slice.cmake
+++ b/src/spread/slice.cmake
@@ -1,1 +1,1 @@
-wagtail_slice(spread DEPENDS wagtail_configuration wagtail_peer wagtail_platform wagtail_telemetry)
+wagtail_slice(spread DEPENDS wagtail_configuration wagtail_peer wagtail_table_service wagtail_telemetry)
--- a/src/platform/client.cpp
+++ b/src/table_service/client.cpp
@@ -1,9 +1,9 @@
 // Table, object and VM list calls over HTTP with JSON.
-#include "platform/client.hpp"
+#include "table_service/client.hpp"
 
-#include "platform/json_codec.hpp"
+#include "table_service/json_codec.hpp"
 
-namespace wagtailseam::platform
+namespace wagtailseam::table_service
 {
 namespace
 {
@@ -196,4 +196,4 @@
     co_return vms;
 }
 
-} // namespace wagtailseam::platform
+} // namespace wagtailseam::table_service
--- a/src/platform/client.hpp
+++ b/src/table_service/client.hpp
@@ -1,9 +1,9 @@
 // Client of the platform's table service, object store and VM list.
-#ifndef WAGTAILSEAM_PLATFORM_CLIENT_HPP
-#define WAGTAILSEAM_PLATFORM_CLIENT_HPP
+#ifndef WAGTAILSEAM_TABLE_SERVICE_CLIENT_HPP
+#define WAGTAILSEAM_TABLE_SERVICE_CLIENT_HPP
 
 #include "http/client.hpp"
-#include "platform/table.hpp"
+#include "table_service/table.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace wagtailseam::platform
+namespace wagtailseam::table_service
 {
 
 namespace asio = boost::asio;
@@ -70,6 +70,6 @@
     call_counts calls_;
 };
 
-} // namespace wagtailseam::platform
+} // namespace wagtailseam::table_service
 
 #endif
--- a/src/platform/json_codec.cpp
+++ b/src/table_service/json_codec.cpp
@@ -1,7 +1,7 @@
 // Conversions between table types and JSON; bad input gives an error.
-#include "platform/json_codec.hpp"
+#include "table_service/json_codec.hpp"
 
-namespace wagtailseam::platform
+namespace wagtailseam::table_service
 {
 namespace
 {
@@ -172,4 +172,4 @@
         row_version{text["version"].get<std::uint64_t>()}};
 }
 
-} // namespace wagtailseam::platform
+} // namespace wagtailseam::table_service
--- a/src/platform/json_codec.hpp
+++ b/src/table_service/json_codec.hpp
@@ -1,14 +1,14 @@
 // JSON forms of table requests and answers, used by the client and by the
 // stand-in.
-#ifndef WAGTAILSEAM_PLATFORM_JSON_CODEC_HPP
-#define WAGTAILSEAM_PLATFORM_JSON_CODEC_HPP
+#ifndef WAGTAILSEAM_TABLE_SERVICE_JSON_CODEC_HPP
+#define WAGTAILSEAM_TABLE_SERVICE_JSON_CODEC_HPP
 
 #include "core/result.hpp"
-#include "platform/table.hpp"
+#include "table_service/table.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace wagtailseam::platform
+namespace wagtailseam::table_service
 {
 
 [[nodiscard]] nlohmann::json to_json(const transaction& asked);
@@ -32,6 +32,6 @@
 [[nodiscard]] std::string text_field(
     const nlohmann::json& object, const char* field);
 
-} // namespace wagtailseam::platform
+} // namespace wagtailseam::table_service
 
 #endif
--- a/src/platform/memory_table.cpp
+++ b/src/table_service/memory_table.cpp
@@ -1,7 +1,7 @@
 // Transactions on a map of rows.
-#include "platform/memory_table.hpp"
+#include "table_service/memory_table.hpp"
 
-namespace wagtailseam::platform
+namespace wagtailseam::table_service
 {
 
 bool memory_table::condition_holds(const row_write& write) const
@@ -71,4 +71,4 @@
     return found;
 }
 
-} // namespace wagtailseam::platform
+} // namespace wagtailseam::table_service
--- a/src/platform/memory_table.hpp
+++ b/src/table_service/memory_table.hpp
@@ -1,14 +1,14 @@
 // The table's semantics in memory: behind the platform stand-in, and in tests
 // of decision cores.
-#ifndef WAGTAILSEAM_PLATFORM_MEMORY_TABLE_HPP
-#define WAGTAILSEAM_PLATFORM_MEMORY_TABLE_HPP
+#ifndef WAGTAILSEAM_TABLE_SERVICE_MEMORY_TABLE_HPP
+#define WAGTAILSEAM_TABLE_SERVICE_MEMORY_TABLE_HPP
 
-#include "platform/table.hpp"
+#include "table_service/table.hpp"
 
 #include <map>
 #include <string_view>
 
-namespace wagtailseam::platform
+namespace wagtailseam::table_service
 {
 
 /// A transactional table of rows. Not thread-safe.
@@ -40,6 +40,6 @@
     std::uint64_t last_version_ = 0;
 };
 
-} // namespace wagtailseam::platform
+} // namespace wagtailseam::table_service
 
 #endif
--- /dev/null
+++ b/src/table_service/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(table_service DEPENDS wagtail_core wagtail_http)
--- a/src/platform/table.hpp
+++ b/src/table_service/table.hpp
@@ -1,7 +1,7 @@
 // The platform's transactional table and object store, as plain data: what a
 // decision core asks for and what it hears back. No I/O here.
-#ifndef WAGTAILSEAM_PLATFORM_TABLE_HPP
-#define WAGTAILSEAM_PLATFORM_TABLE_HPP
+#ifndef WAGTAILSEAM_TABLE_SERVICE_TABLE_HPP
+#define WAGTAILSEAM_TABLE_SERVICE_TABLE_HPP
 
 #include "core/strong_type.hpp"
 
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-namespace wagtailseam::platform
+namespace wagtailseam::table_service
 {
 
 /// Grows with each write of a row; 0 stands for an absent row. A row that is
@@ -99,6 +99,6 @@
 
 using scan_answer = std::variant<std::vector<row>, read_failed>;
 
-} // namespace wagtailseam::platform
+} // namespace wagtailseam::table_service
 
 #endif
--- a/src/platform/test/memory_table_test.cpp
+++ b/src/table_service/test/memory_table_test.cpp
@@ -1,9 +1,9 @@
 // The table's transactions: all or none, conditions, versions.
-#include "platform/memory_table.hpp"
+#include "table_service/memory_table.hpp"
 
 #include <gtest/gtest.h>
 
-namespace wagtailseam::platform
+namespace wagtailseam::table_service
 {
 namespace
 {
@@ -59,4 +59,4 @@
 }
 
 } // namespace
-} // namespace wagtailseam::platform
+} // namespace wagtailseam::table_service
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -1,9 +1,15 @@
 // Log lines through spdlog; values with spaces or quotes are quoted.
 #include "telemetry/event_log.hpp"
 
-#include <spdlog/sinks/stdout_sinks.h>
+#include "telemetry/output.hpp"
+
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
 
+#include <memory>
+#include <mutex>
+#include <unistd.h>
+
 namespace wagtailseam::telemetry
 {
 namespace
@@ -34,11 +40,27 @@
     line += '"';
 }
 
+class output_sink final : public spdlog::sinks::base_sink<std::mutex>
+{
+protected:
+    void sink_it_(const spdlog::details::log_msg& message) override
+    {
+        spdlog::memory_buf_t line;
+        formatter_->format(message, line);
+        output_.write({line.data(), line.size()});
+    }
+    void flush_() override {}
+
+private:
+    line_output output_{STDOUT_FILENO};
+};
+
 } // namespace
 
 void open_log(std::string_view program, std::string_view level)
 {
-    auto logger = spdlog::stderr_logger_mt(std::string(program));
+    auto logger = std::make_shared<spdlog::logger>(
+        std::string(program), std::make_shared<output_sink>());
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%f level=%l program=%n %v");
     const auto parsed = spdlog::level::from_str(std::string(level));
     logger->set_level(
--- a/src/telemetry/event_log.hpp
+++ b/src/telemetry/event_log.hpp
@@ -13,7 +13,7 @@
 namespace wagtailseam::telemetry
 {
 
-/// Sets up the process's log on standard error. @param level "debug",
+/// Sets up the process's log on standard output, which never blocks it. @param level "debug",
 /// "info", "warn" or "error"; anything else means "info".
 void open_log(std::string_view program, std::string_view level);
 
--- a/src/weights/rollout.cpp
+++ b/src/weights/rollout.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-platform::row_key slot_key(std::size_t slot)
+table_service::row_key slot_key(std::size_t slot)
 {
     return {slot_table, std::to_string(slot)};
 }
@@ -125,7 +125,7 @@
         return;
     }
     slots_ = {};
-    for (const platform::row& row : read.rows)
+    for (const table_service::row& row : read.rows)
     {
         for (std::size_t i = 0; i < load_slots; ++i)
         {
@@ -162,7 +162,7 @@
         return;
     }
     slot.write = 0;
-    const auto* const done = std::get_if<platform::committed>(&written.answer);
+    const auto* const done = std::get_if<table_service::committed>(&written.answer);
     if (done == nullptr)
     {
         // A conflict or a lost answer: what stands is read back.
@@ -318,7 +318,7 @@
     slot_state& state = slots_[slot];
     state.write = ++last_write_;
     state.next = {*fencing_, runner};
-    platform::row_write change{
+    table_service::row_write change{
         .at = slot_key(slot),
         .expected = state.version,
         .value = encode(state.next)};
--- a/src/weights/rollout.hpp
+++ b/src/weights/rollout.hpp
@@ -5,7 +5,7 @@
 
 #include "core/clock.hpp"
 #include "core/result_code.hpp"
-#include "platform/table.hpp"
+#include "table_service/table.hpp"
 #include "weights/weight_order.hpp"
 
 #include <array>
@@ -53,7 +53,7 @@
 /// The rows asked for by read_slots, in any order.
 struct slots_read
 {
-    std::vector<platform::row> rows;
+    std::vector<table_service::row> rows;
 };
 
 /// The answer to write_slot.
@@ -62,7 +62,7 @@
     std::size_t slot = 0;
     /// Of the write_slot that this answers.
     std::uint64_t write = 0;
-    platform::transaction_answer answer;
+    table_service::transaction_answer answer;
 };
 
 /// The answer of a runner's sidecar to order_runner or ask_runner.
@@ -96,7 +96,7 @@
 {
     std::size_t slot = 0;
     std::uint64_t write = 0;
-    platform::transaction change;
+    table_service::transaction change;
 };
 
 struct order_runner
@@ -183,7 +183,7 @@
     struct slot_state
     {
         slot_row row;
-        platform::row_version version;
+        table_service::row_version version;
         /// Written by this holder; only then it may be used.
         bool owned = false;
         /// The write under way and its value; 0 for none.
--- a/src/weights/slice.cmake
+++ b/src/weights/slice.cmake
@@ -1,1 +1,1 @@
-wagtail_slice(weights DEPENDS wagtail_core wagtail_platform)
+wagtail_slice(weights DEPENDS wagtail_core wagtail_table_service)
--- a/src/weights/test/rollout_test.cpp
+++ b/src/weights/test/rollout_test.cpp
@@ -3,7 +3,7 @@
 // the engines: how many load, and whose orders they begin.
 #include "core/overloaded.hpp"
 #include "core/random_source.hpp"
-#include "platform/memory_table.hpp"
+#include "table_service/memory_table.hpp"
 #include "weights/order_gate.hpp"
 #include "weights/rollout.hpp"
 
@@ -265,7 +265,7 @@
         send(
             from, slot_written{
                       command.slot, command.write,
-                      lost ? platform::answer_lost{} : result});
+                      lost ? table_service::answer_lost{} : result});
     }
     void carry_out(std::size_t from, const order_runner& command)
     {
@@ -333,7 +333,7 @@
 
     random_source random_;
     mono_time now_{std::chrono::seconds(1)};
-    platform::memory_table table_;
+    table_service::memory_table table_;
     std::array<std::unique_ptr<runner_model>, count> runners_;
     std::array<rollout, 3> holders_{rollout({}), rollout({}), rollout({})};
     std::size_t holder_ = 0;
@@ -364,7 +364,7 @@
     {
         targets.push_back({upstream_id{name}, setup_of(2), byte_count{2000}});
     }
-    platform::memory_table table;
+    table_service::memory_table table;
     std::vector<mono_time> starts;
     std::vector<rollout_event> events{
         targets_changed{targets}, lease_gained{fencing_number{1}}};
@@ -432,7 +432,7 @@
     {
         return {
             write.slot, write.write,
-            platform::committed{{platform::row_version{version}}}};
+            table_service::committed{{table_service::row_version{version}}}};
     }
     /// Returns the writes of the first loads.
     std::vector<write_slot> start()
@@ -482,7 +482,7 @@
     (void)sent<read_slots>(slots_read{
         {{.at = {slot_table, "0"},
           .value = encode({fencing_number{4}, {}}),
-          .version = platform::row_version{9}}}});
+          .version = table_service::row_version{9}}}});
     EXPECT_FALSE(subject_.acting());
 }
 
--- a/stand_ins/platform.cpp
+++ b/stand_ins/platform.cpp
@@ -2,8 +2,8 @@
 // with outages, slowness and lost answers on request.
 #include "control_flags.hpp"
 #include "core/random_source.hpp"
-#include "platform/json_codec.hpp"
-#include "platform/memory_table.hpp"
+#include "table_service/json_codec.hpp"
+#include "table_service/memory_table.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -140,7 +140,7 @@
     {
         constexpr unsigned bad_request = 400;
         constexpr unsigned conflict = 409;
-        const auto asked = platform::transaction_from_json(
+        const auto asked = table_service::transaction_from_json(
             json::parse(request.body, nullptr, false));
         if (!asked)
         {
@@ -148,24 +148,24 @@
             return "{}";
         }
         const auto answer = table_.apply(asked.value());
-        if (const auto* const done = std::get_if<platform::committed>(&answer))
+        if (const auto* const done = std::get_if<table_service::committed>(&answer))
         {
-            return platform::to_json(*done).dump();
+            return table_service::to_json(*done).dump();
         }
         status = conflict;
-        return platform::to_json(std::get<platform::conflicted>(answer)).dump();
+        return table_service::to_json(std::get<table_service::conflicted>(answer)).dump();
     }
 
     std::string read(const http::request& asked) const
     {
         const json at = json::parse(asked.body, nullptr, false);
         const auto found = table_.read(
-            {platform::text_field(at, "table"),
-             platform::text_field(at, "key")});
+            {table_service::text_field(at, "table"),
+             table_service::text_field(at, "key")});
         json answer{{"row", nullptr}};
         if (found)
         {
-            answer["row"] = platform::to_json(*found);
+            answer["row"] = table_service::to_json(*found);
         }
         return answer.dump();
     }
@@ -177,11 +177,11 @@
             at.is_object() ? at.value("limit", std::size_t{1000}) : 0;
         json rows = json::array();
         for (const auto& each : table_.scan(
-                 platform::text_field(at, "table"),
-                 platform::text_field(at, "prefix"),
-                 platform::text_field(at, "after"), limit))
+                 table_service::text_field(at, "table"),
+                 table_service::text_field(at, "prefix"),
+                 table_service::text_field(at, "after"), limit))
         {
-            rows.push_back(platform::to_json(each));
+            rows.push_back(table_service::to_json(each));
         }
         return json{{"rows", std::move(rows)}}.dump();
     }
@@ -211,7 +211,7 @@
     boost::asio::io_context& context_;
     random_source random_;
     fault_settings faults_;
-    platform::memory_table table_;
+    table_service::memory_table table_;
     std::map<std::string, std::string> objects_;
     std::string vms_ = R"({"vms":[]})";
     std::uint64_t reads_ = 0;
