--- a/programs/programs.cmake
+++ b/programs/programs.cmake
@@ -13,3 +13,5 @@
         Threads::Threads)
 wagtail_program(wagtail-gateway
     SOURCES programs/wagtail_gateway.cpp DEPENDS wagtail_gateway absl::flags)
+wagtail_program(wagtail-agent
+    SOURCES programs/wagtail_agent.cpp DEPENDS wagtail_agent)
--- /dev/null
+++ b/src/agent/app.cpp
@@ -0,0 +1,409 @@
+// Loops of the agent.
+#include "agent/app.hpp"
+
+#include "core/overloaded.hpp"
+#include "platform/documents.hpp"
+#include "platform/engine_calls.hpp"
+#include "http/endpoint.hpp"
+#include "platform/request_codec.hpp"
+#include "runtime/program.hpp"
+#include "telemetry/event_log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace wagtailseam::agent
+{
+namespace
+{
+
+constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
+
+/// Table of this system in which each agent numbers its lives.
+constexpr const char* agent_table = "agents";
+constexpr std::chrono::milliseconds engine_timeout{600};
+constexpr std::chrono::milliseconds connect_timeout{300};
+/// Between two looks at the engine, which cost nothing from its own VM.
+constexpr std::chrono::milliseconds look_interval{100};
+/// A word that says nothing new is sent again after this time; gateways trust
+/// it for a second.
+constexpr std::chrono::milliseconds repeat_interval{400};
+/// Between two reads of the list of upstreams, and after a failed one. It is
+/// needed for ranks and for this engine's id alone.
+constexpr std::chrono::seconds list_interval{10};
+constexpr std::chrono::milliseconds list_retry{1000};
+constexpr std::chrono::seconds listener_poll{10};
+constexpr std::chrono::milliseconds sweep_interval{500};
+constexpr std::chrono::milliseconds store_timeout{1500};
+constexpr std::chrono::milliseconds fencing_pause{400};
+/// Parts in one call that frees.
+constexpr std::size_t max_freed_parts = 400;
+constexpr unsigned status_ok = 200;
+
+http::address engine_address(const platform::process_settings& settings)
+{
+    if (!settings.local_upstream)
+    {
+        throw std::runtime_error("no engine on this VM");
+    }
+    return *settings.local_upstream;
+}
+
+} // namespace
+
+app::app(asio::io_context& context, platform::process_settings settings)
+    : context_(context), settings_(std::move(settings)),
+      store_(context.get_executor(), settings_.store),
+      operator_table_(
+          context, store_,
+          {.table = platform::operator_table,
+           .take = [this](const auto& rows, bool)
+           { take_operator_rows(rows); }}),
+      listener_table_(
+          context, store_,
+          {.table = engine_status::listener_table,
+           .take = [this](const auto& rows, bool whole)
+           { take_listener_rows(rows, whole); },
+           .poll_wait = listener_poll}),
+      http_(
+          context.get_executor(),
+          {.connect_timeout = connect_timeout, .max_idle = 1}),
+      words_(context, asio::ip::udp::v4()), turns_({.bound = settings_.bounds.weights})
+{
+    operator_table_.start();
+    listener_table_.start();
+    word_.life = runtime::random_incarnation();
+    asio::co_spawn(context_, take_fencing_number(), asio::detached);
+    asio::co_spawn(context_, watch_engine(), asio::detached);
+    asio::co_spawn(context_, sweep_stores(), asio::detached);
+    telemetry::event("started")
+        .with("vm", settings_.vm)
+        .with("engine", engine_address(settings_))
+        .with("store", settings_.store);
+}
+
+void app::stop()
+{
+    telemetry::event("stopped").with("vm", settings_.vm);
+    context_.stop();
+}
+
+asio::awaitable<void> app::take_fencing_number()
+{
+    asio::steady_timer timer(context_);
+    while (!fencing_)
+    {
+        const auto written = co_await store_.put(
+            agent_table, settings_.vm.value(), settings_.ip);
+        if (written)
+        {
+            // The store's versions grow, so a later life has a higher number.
+            fencing_ = fencing_number{written.value().value()};
+            telemetry::event("fencing_number_taken").with("number", *fencing_);
+            co_return;
+        }
+        timer.expires_after(fencing_pause);
+        co_await timer.async_wait(completion);
+    }
+}
+
+void app::take_operator_rows(const platform::row_set& rows)
+{
+    const auto now = monotonic_clock::now();
+    for (const auto& row : rows.rows)
+    {
+        const auto read = platform::decode_operator_row(row);
+        if (!read)
+        {
+            telemetry::event("operator_row_ignored")
+                .with("row", row.key)
+                .with("detail", read.error().detail)
+                .warning();
+            continue;
+        }
+        std::visit(
+            overloaded{
+                [](std::monostate) {},
+                [this](const serving::configuration& next)
+                {
+                    if (next.number > configuration_)
+                    {
+                        configuration_ = next.number;
+                        cache_stores_ = next.stores;
+                    }
+                },
+                [this, now](const serving::weight_target& target)
+                {
+                    if (turns_.name(target, now))
+                    {
+                        sweep_.name(target, now);
+                        telemetry::event("weights_named")
+                            .with("model", target.model)
+                            .with("version", target.version)
+                            .with(
+                                "turn_in_us",
+                                (turns_.turn_begins(now) - now).count());
+                    }
+                }},
+            read.value());
+    }
+}
+
+void app::take_listener_rows(const platform::row_set& rows, bool whole_table)
+{
+    if (whole_table)
+    {
+        listeners_.clear();
+    }
+    for (const auto& row : rows.rows)
+    {
+        if (!row.value)
+        {
+            listeners_.erase(row.key);
+            continue;
+        }
+        const auto address = http::parse_endpoint(http::address{*row.value});
+        if (!address)
+        {
+            telemetry::event("listener_row_ignored")
+                .with("row", row.key)
+                .warning();
+            continue;
+        }
+        listeners_.insert_or_assign(
+            row.key, asio::ip::udp::endpoint(
+                         address.value().address(), address.value().port()));
+    }
+}
+
+asio::awaitable<void> app::read_engine_list()
+{
+    const auto now = monotonic_clock::now();
+    const auto rows = co_await store_.read_table(platform::upstream_table);
+    if (!rows)
+    {
+        next_list_read_ = now + list_retry;
+        co_return;
+    }
+    engines_.clear();
+    for (const auto& row : rows.value().rows)
+    {
+        const auto entry = platform::decode_upstream_row(row);
+        if (entry && entry->service == settings_.local_service)
+        {
+            engines_.insert_or_assign(entry->id, *entry);
+        }
+    }
+    find_place();
+    next_list_read_ = now + (self_.value().empty() ? list_retry : list_interval);
+}
+
+void app::find_place()
+{
+    const auto address = engine_address(settings_);
+    std::size_t rank = 0;
+    const auto before = std::exchange(self_, upstream_id{});
+    for (const auto& [id, entry] : engines_)
+    {
+        if (entry.address == address)
+        {
+            self_ = id;
+            if (id != before)
+            {
+                telemetry::event("engine_listed").with("upstream", id);
+            }
+            turns_.place(rank, engines_.size());
+            return;
+        }
+        ++rank;
+    }
+}
+
+asio::awaitable<void> app::watch_engine()
+{
+    asio::steady_timer timer(context_);
+    for (;;)
+    {
+        if (monotonic_clock::now() >= next_list_read_)
+        {
+            co_await read_engine_list();
+        }
+        const bool known = co_await read_engine();
+        if (known != engine_known_)
+        {
+            engine_known_ = known;
+            telemetry::event(known ? "engine_regained" : "engine_lost")
+                .with("upstream", self_);
+        }
+        if (known && fencing_ && !self_.value().empty())
+        {
+            if (auto order = turns_.due(engine_, monotonic_clock::now()))
+            {
+                co_await give_order(*order);
+            }
+        }
+        order_pending_ = order_pending_ && turns_.behind(engine_);
+        if (known && !self_.value().empty())
+        {
+            tell_gateways(engine_.busy || order_pending_);
+        }
+        timer.expires_after(look_interval);
+        co_await timer.async_wait(completion);
+    }
+}
+
+asio::awaitable<bool> app::read_engine()
+{
+    auto asked = platform::report_call();
+    const auto answer = co_await http_.fetch(
+        engine_address(settings_), std::move(asked), engine_timeout);
+    if (!answer || answer.value().status != status_ok)
+    {
+        co_return false;
+    }
+    auto read = platform::decode_report(answer.value().body);
+    if (!read)
+    {
+        telemetry::event("report_malformed")
+            .with("detail", read.error().detail)
+            .warning();
+        co_return false;
+    }
+    engine_ = engine_state{
+        .weights = std::move(read.value().weights),
+        .busy = read.value().busy,
+        .orders = read.value().orders,
+        .prompts_waiting = read.value().prompts_waiting,
+        .running = read.value().running};
+    co_return true;
+}
+
+void app::tell_gateways(bool loading)
+{
+    const auto now = monotonic_clock::now();
+    auto next = word_;
+    next.upstream = self_;
+    next.prompts_waiting = engine_.prompts_waiting;
+    next.running = engine_.running;
+    next.loading = loading;
+    next.weights = engine_.weights;
+    if (next == word_ && now - word_sent_ < repeat_interval)
+    {
+        return;
+    }
+    ++next.number;
+    word_ = std::move(next);
+    word_sent_ = now;
+    const auto datagram = engine_status::encode(word_);
+    for (const auto& [vm, address] : listeners_)
+    {
+        // A datagram that cannot be sent is made up by the next one.
+        boost::system::error_code ignored;
+        words_.send_to(asio::buffer(datagram), address, 0, ignored);
+    }
+}
+
+asio::awaitable<void> app::give_order(due_order order)
+{
+    constexpr unsigned status_misdirected = 421;
+    // Gateways send elsewhere from now on instead of being refused.
+    order_pending_ = true;
+    tell_gateways(true);
+    auto call = platform::order_call(
+        {.upstream = self_,
+         .model = order.model,
+         .version = order.version,
+         .expected_orders = order.expected_orders,
+         .holder = settings_.vm,
+         .fencing = *fencing_});
+    const auto answer = co_await http_.fetch(
+        engine_address(settings_), std::move(call), engine_timeout);
+    telemetry::event("order_given")
+        .with("upstream", self_)
+        .with("model", order.model)
+        .with("version", order.version)
+        .with("expected_orders", order.expected_orders)
+        .with("fencing", *fencing_)
+        .with(
+            "answer", answer ? std::to_string(answer.value().status)
+                             : answer.error().detail);
+    if (answer && answer.value().status == status_misdirected)
+    {
+        order_pending_ = false;
+        next_list_read_ = monotonic_clock::now();
+    }
+}
+
+asio::awaitable<void> app::sweep_stores()
+{
+    asio::steady_timer timer(context_);
+    for (;;)
+    {
+        timer.expires_after(sweep_interval);
+        co_await timer.async_wait(completion);
+        std::vector<upstream_id> ids;
+        for (const auto& [id, entry] : engines_)
+        {
+            ids.push_back(id);
+        }
+        const auto due =
+            sweep_.due(cache_stores_, ids, self_, monotonic_clock::now());
+        for (const auto& store : due)
+        {
+            co_await sweep(store);
+        }
+    }
+}
+
+asio::awaitable<void> app::sweep(serving::cache_store store)
+{
+    auto list_call = platform::cache_content_call();
+    const auto listed = co_await http_.fetch(
+        store.address, std::move(list_call), store_timeout);
+    const auto content =
+        listed ? platform::decode_cache_content(listed.value().body)
+               : result<serving::cache_content>(fail(listed.error().code));
+    if (!content)
+    {
+        telemetry::event("cache_sweep_failed")
+            .with("store", store.service)
+            .with("result", content.error().code)
+            .warning();
+        co_return;
+    }
+    auto parts = sweep_.outdated(content.value());
+    telemetry::event("cache_sweep")
+        .with("store", store.service)
+        .with("held", content.value().held.size())
+        .with("unfinished", content.value().unfinished.size())
+        .with("freed", parts.size());
+    while (!parts.empty())
+    {
+        const auto size = std::min(parts.size(), max_freed_parts);
+        const std::vector<serving::kept_part> batch(
+            parts.end() - static_cast<std::ptrdiff_t>(size), parts.end());
+        parts.resize(parts.size() - size);
+        auto call = platform::free_call(batch, content.value().epoch);
+        const auto freed = co_await http_.fetch(
+            store.address, std::move(call), store_timeout);
+        if (!freed || freed.value().status != status_ok)
+        {
+            telemetry::event("cache_free_failed")
+                .with("store", store.service)
+                .with(
+                    "answer", freed ? std::to_string(freed.value().status)
+                                    : freed.error().detail)
+                .warning();
+            co_return;
+        }
+    }
+}
+
+} // namespace wagtailseam::agent
--- /dev/null
+++ b/src/agent/app.hpp
@@ -0,0 +1,81 @@
+// The process beside an engine: gives it its orders, and sweeps cache stores.
+#ifndef WAGTAILSEAM_AGENT_APP_HPP
+#define WAGTAILSEAM_AGENT_APP_HPP
+
+#include "agent/cache_sweep.hpp"
+#include "agent/weight_turns.hpp"
+#include "engine_status/status.hpp"
+#include "http/client.hpp"
+#include "platform/settings_file.hpp"
+#include "platform/table_follower.hpp"
+#include "serving/upstream.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace wagtailseam::agent
+{
+
+namespace asio = boost::asio;
+
+/// Runs until stopped. Not thread-safe: one io_context.
+class app
+{
+public:
+    app(asio::io_context& context, platform::process_settings settings);
+    app(const app&) = delete;
+    app& operator=(const app&) = delete;
+
+    void stop();
+
+private:
+    asio::awaitable<void> take_fencing_number();
+    asio::awaitable<void> watch_engine();
+    asio::awaitable<bool> read_engine();
+    asio::awaitable<void> give_order(due_order order);
+    asio::awaitable<void> sweep_stores();
+    asio::awaitable<void> sweep(serving::cache_store store);
+
+    void take_operator_rows(const platform::row_set& rows);
+    void take_listener_rows(const platform::row_set& rows, bool whole_table);
+    asio::awaitable<void> read_engine_list();
+    void find_place();
+    void tell_gateways(bool loading);
+
+    asio::io_context& context_;
+    platform::process_settings settings_;
+    platform::store_client store_;
+    platform::table_follower operator_table_;
+    platform::table_follower listener_table_;
+    http::client http_;
+    asio::ip::udp::socket words_;
+    weight_turns turns_;
+    cache_sweep sweep_;
+    std::vector<serving::cache_store> cache_stores_;
+    config_number configuration_;
+    /// The upstreams of this engine's service.
+    std::map<upstream_id, serving::upstream> engines_;
+    /// This engine; empty while it is not listed.
+    upstream_id self_;
+    engine_state engine_;
+    bool engine_known_ = false;
+    mono_time next_list_read_;
+    /// Where gateways take words on this engine, by their VMs.
+    std::map<std::string, asio::ip::udp::endpoint> listeners_;
+    /// The last word, sent again when nothing changes.
+    engine_status::status word_;
+    mono_time word_sent_;
+    /// An order was given and its end was not seen.
+    bool order_pending_ = false;
+    /// Nothing before the store gave one; no order is given without it.
+    std::optional<fencing_number> fencing_;
+};
+
+} // namespace wagtailseam::agent
+
+#endif
--- /dev/null
+++ b/src/agent/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(agent DEPENDS wagtail_engine_status wagtail_serving wagtail_platform wagtail_routing wagtail_telemetry)
--- /dev/null
+++ b/src/engine_status/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(engine_status DEPENDS wagtail_core wagtail_serving)
--- /dev/null
+++ b/src/engine_status/status.cpp
@@ -0,0 +1,56 @@
+// MessagePack by nlohmann/json; short keys, since these are sent often.
+#include "engine_status/status.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace wagtailseam::engine_status
+{
+
+std::string encode(const status& said)
+{
+    auto weights = nlohmann::json::object();
+    for (const auto& [model, version] : said.weights)
+    {
+        weights[model.value()] = version.value();
+    }
+    const nlohmann::json document{
+        {"u", said.upstream.value()}, {"n", said.number},
+        {"l", said.life},             {"p", said.prompts_waiting},
+        {"r", said.running},          {"b", said.loading},
+        {"w", std::move(weights)}};
+    std::string datagram;
+    nlohmann::json::to_msgpack(document, datagram);
+    return datagram;
+}
+
+result<status> decode(std::string_view datagram)
+{
+    const auto document =
+        nlohmann::json::from_msgpack(datagram, true, false);
+    if (!document.is_object())
+    {
+        return fail(result_code::malformed_message, "not a map");
+    }
+    try
+    {
+        status said;
+        said.upstream = upstream_id{document.at("u").get<std::string>()};
+        said.number = document.at("n").get<std::uint64_t>();
+        said.life = document.at("l").get<std::uint64_t>();
+        said.prompts_waiting = document.at("p").get<std::uint32_t>();
+        said.running = document.at("r").get<std::uint32_t>();
+        said.loading = document.at("b").get<bool>();
+        for (const auto& [model, version] : document.at("w").items())
+        {
+            said.weights.insert_or_assign(
+                model_id{model}, weight_version{version.get<std::uint64_t>()});
+        }
+        return said;
+    }
+    catch (const nlohmann::json::exception& raised)
+    {
+        return fail(result_code::malformed_message, raised.what());
+    }
+}
+
+} // namespace wagtailseam::engine_status
--- /dev/null
+++ b/src/engine_status/status.hpp
@@ -0,0 +1,47 @@
+// The word of an agent to all gateways about its engine, sent several times a
+// second in datagrams. A lost one is made up by the next.
+#ifndef WAGTAILSEAM_ENGINE_STATUS_STATUS_HPP
+#define WAGTAILSEAM_ENGINE_STATUS_STATUS_HPP
+
+#include "core/result.hpp"
+#include "serving/ids.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace wagtailseam::engine_status
+{
+
+/// Table of the platform's store in which gateways name the address that
+/// takes these datagrams; the key is the gateway's VM.
+inline constexpr const char* listener_table = "status_listeners";
+
+struct status
+{
+    upstream_id upstream;
+    /// Counts an agent's datagrams; starts anew with each of its lives.
+    std::uint64_t number = 0;
+    /// Names the agent's life.
+    std::uint64_t life = 0;
+    /// Requests whose prompt is not read yet, queued ones included.
+    std::uint32_t prompts_waiting = 0;
+    /// Requests that make tokens.
+    std::uint32_t running = 0;
+    /// Takes no request until it has loaded weights.
+    bool loading = false;
+    std::map<model_id, weight_version> weights;
+
+    friend bool operator==(const status&, const status&) = default;
+};
+
+/// Returns a datagram of some ten bytes for each field.
+[[nodiscard]] std::string encode(const status& said);
+
+/// @errors malformed_message
+[[nodiscard]] result<status> decode(std::string_view datagram);
+
+} // namespace wagtailseam::engine_status
+
+#endif
--- /dev/null
+++ b/src/engine_status/test/status_test.cpp
@@ -0,0 +1,48 @@
+// Datagrams between agents and gateways.
+#include "engine_status/status.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace wagtailseam::engine_status
+{
+namespace
+{
+
+TEST(engine_status, encoded_decodes_same)
+{
+    const status said{
+        .upstream = upstream_id{"engine-1"},
+        .number = 7,
+        .life = 99,
+        .prompts_waiting = 3,
+        .running = 12,
+        .loading = true,
+        .weights = {{model_id{"m"}, weight_version{4}}}};
+    const auto read = decode(encode(said));
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(read.value().upstream, said.upstream);
+    EXPECT_EQ(read.value().number, said.number);
+    EXPECT_EQ(read.value().life, said.life);
+    EXPECT_EQ(read.value().prompts_waiting, said.prompts_waiting);
+    EXPECT_EQ(read.value().running, said.running);
+    EXPECT_EQ(read.value().loading, said.loading);
+    EXPECT_EQ(read.value().weights, said.weights);
+}
+
+RC_GTEST_PROP(engine_status, any_bytes_decode_or_fail, (const std::string& bytes))
+{
+    (void)decode(bytes);
+}
+
+TEST(engine_status, cut_datagram_fails)
+{
+    const auto whole = encode({.upstream = upstream_id{"engine-1"}});
+    for (std::size_t size = 0; size < whole.size(); ++size)
+    {
+        EXPECT_FALSE(decode(whole.substr(0, size)).has_value());
+    }
+}
+
+} // namespace
+} // namespace wagtailseam::engine_status
--- a/src/gateway/feeds.cpp
+++ b/src/gateway/feeds.cpp
@@ -2,6 +2,7 @@
 #include "gateway/feeds.hpp"
 
 #include "core/overloaded.hpp"
+#include "engine_status/status.hpp"
 #include "platform/documents.hpp"
 #include "platform/request_codec.hpp"
 #include "telemetry/event_log.hpp"
@@ -13,6 +14,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace wagtailseam::gateway
 {
@@ -21,9 +23,6 @@
 
 constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
 
-/// A poll ends at least this often: a connection that fell silent is noticed
-/// within the time in which a configuration must be in force.
-constexpr std::chrono::milliseconds table_wait{2000};
 constexpr std::chrono::milliseconds retry_pause{250};
 /// Polls of cache stores; the trust of cache_view covers one of them.
 constexpr std::chrono::milliseconds cache_wait{1000};
@@ -37,6 +36,8 @@
 /// this long after its return.
 constexpr std::chrono::milliseconds relisting_time{2500};
 constexpr std::chrono::seconds unstable_time{3};
+constexpr std::chrono::milliseconds announce_pause{1000};
+constexpr std::size_t max_datagram = 1500;
 constexpr unsigned status_ok = 200;
 
 } // namespace
@@ -46,6 +47,21 @@
     std::function<void()> configured)
     : context_(context), known_(known), configured_(std::move(configured)),
       store_(context.get_executor(), known.settings.store),
+      operator_table_(
+          context, store_,
+          {.table = platform::operator_table,
+           .take = [this](const auto& rows, bool)
+           { take_operator_rows(rows); }}),
+      upstream_table_(
+          context, store_,
+          {.table = platform::upstream_table,
+           .take = [this](const auto& rows, bool whole)
+           { take_upstream_rows(rows, whole); }}),
+      agents_(
+          context,
+          asio::ip::udp::endpoint(
+              asio::ip::make_address(known.settings.ip),
+              known.settings.first_port)),
       caches_(
           context.get_executor(),
           {.connect_timeout = cache_connect_timeout, .max_idle = 1})
@@ -54,79 +70,72 @@
 
 void feeds::start()
 {
-    asio::co_spawn(
-        context_,
-        follow_table(
-            platform::operator_table,
-            [this](const auto& rows, bool) { take_operator_rows(rows); }),
-        asio::detached);
-    asio::co_spawn(
-        context_,
-        follow_table(
-            platform::upstream_table, [this](const auto& rows, bool whole)
-            { take_upstream_rows(rows, whole); }),
-        asio::detached);
+    operator_table_.start();
+    upstream_table_.start();
+    asio::co_spawn(context_, announce_listener(), asio::detached);
+    asio::co_spawn(context_, hear_agents(), asio::detached);
 }
 
-asio::awaitable<void> feeds::pause(duration time)
+asio::awaitable<void> feeds::announce_listener()
 {
-    asio::steady_timer timer(context_, time);
-    co_await timer.async_wait(completion);
+    const auto& settings = known_.settings;
+    const std::string address =
+        settings.ip + ":" + std::to_string(settings.first_port);
+    for (;;)
+    {
+        const auto written = co_await store_.put(
+            engine_status::listener_table, settings.vm.value(), address);
+        if (written)
+        {
+            co_return;
+        }
+        co_await pause(announce_pause);
+    }
 }
 
-asio::awaitable<void> feeds::follow_table(
-    std::string table, row_handler handle)
+asio::awaitable<void> feeds::hear_agents()
 {
-    std::optional<platform::store_version> seen;
-    std::optional<mono_time> lost_at;
+    std::array<char, max_datagram> bytes{};
     for (;;)
     {
-        const bool whole = !seen;
-        // Not one expression: g++ 12 miscompiles co_await in a conditional.
-        auto rows = result<platform::row_set>(fail(result_code::not_ready));
-        if (whole)
-        {
-            rows = co_await store_.read_table(table);
-        }
-        else
+        const auto [failed, size] =
+            co_await agents_.async_receive(asio::buffer(bytes), completion);
+        if (failed == asio::error::operation_aborted)
         {
-            rows = co_await store_.changes(table, *seen, table_wait);
+            co_return;
         }
-        if (rows)
+        const auto said = failed
+                              ? result<engine_status::status>(fail(
+                                    result_code::malformed_message))
+                              : engine_status::decode({bytes.data(), size});
+        if (!said)
         {
-            if (lost_at)
-            {
-                telemetry::event("dependency_regained")
-                    .with("table", table)
-                    .with("away_us", (monotonic_clock::now() - *lost_at).count());
-                lost_at.reset();
-            }
-            seen = rows.value().version;
-            handle(rows.value(), whole);
+            known_.metrics.count("wagtail_agent_datagrams_dropped_total");
             continue;
         }
-        if (rows.error().code == result_code::platform_not_found)
+        const auto& word = said.value();
+        auto& last = last_words_[word.upstream];
+        if (last.first == word.life && last.second >= word.number)
         {
-            seen.reset();
             continue;
         }
-        if (table == platform::upstream_table)
-        {
-            list_lost_ = monotonic_clock::now();
-        }
-        if (!lost_at)
-        {
-            lost_at = monotonic_clock::now();
-            telemetry::event("dependency_lost")
-                .with("table", table)
-                .with("detail", rows.error().detail)
-                .warning();
-        }
-        known_.metrics.count("wagtail_store_failures_total", "table", table);
-        co_await pause(retry_pause);
+        last = {word.life, word.number};
+        known_.upstreams.take_load(
+            word.upstream,
+            {.prompts_waiting = word.prompts_waiting,
+             .running = word.running,
+             .loading = word.loading,
+             .weights = word.weights},
+            monotonic_clock::now());
     }
 }
 
+asio::awaitable<void> feeds::pause(duration time)
+{
+    asio::steady_timer timer(context_, time);
+    co_await timer.async_wait(completion);
+}
+
 void feeds::take_operator_rows(const platform::row_set& rows)
 {
     known_.operator_heard = monotonic_clock::now();
@@ -199,7 +208,8 @@
 duration feeds::missing_grace() const
 {
     const bool unstable =
-        monotonic_clock::now() - list_lost_ < unstable_time;
+        monotonic_clock::now() - upstream_table_.last_failure() <
+        unstable_time;
     const duration usual = known_.settings.bounds.drain - drain_margin;
     return unstable ? std::max<duration>(usual, relisting_time) : usual;
 }
--- a/src/gateway/feeds.hpp
+++ b/src/gateway/feeds.hpp
@@ -6,13 +6,17 @@
 #include "gateway/knowledge.hpp"
 #include "http/client.hpp"
 #include "platform/store_client.hpp"
+#include "platform/table_follower.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace wagtailseam::gateway
 {
@@ -31,10 +35,8 @@
     void start();
 
 private:
-    using row_handler = std::function<void(
-        const platform::row_set& rows, bool whole_table)>;
-
-    asio::awaitable<void> follow_table(std::string table, row_handler handle);
+    asio::awaitable<void> announce_listener();
+    asio::awaitable<void> hear_agents();
     asio::awaitable<void> follow_cache(serving::cache_store store);
     asio::awaitable<bool> poll_cache(const serving::cache_store& store);
     asio::awaitable<bool> list_cache(const serving::cache_store& store);
@@ -50,11 +52,14 @@
     knowledge& known_;
     std::function<void()> configured_;
     platform::store_client store_;
+    platform::table_follower operator_table_;
+    platform::table_follower upstream_table_;
+    asio::ip::udp::socket agents_;
     http::client caches_;
+    /// Life and number of the last datagram about an engine.
+    std::map<upstream_id, std::pair<std::uint64_t, std::uint64_t>> last_words_;
     /// The stores that a coroutine follows.
     std::set<http::address> followed_;
-    /// When the list of upstreams last failed to answer.
-    mono_time list_lost_;
     bool first_operator_read_ = true;
 };
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -38,6 +38,9 @@
 /// Stores free parts of older weights some seconds after newer were named;
 /// fetches are planned only while that would have been heard.
 constexpr std::chrono::milliseconds operator_trust{2800};
+/// Parts of older weights are fetched this long after newer were named, while
+/// upstreams still change; agent::cache_sweep_options::rest is longer.
+constexpr std::chrono::milliseconds old_fetch_time{1000};
 /// Requests keep off older weights this long before the agreed time.
 constexpr std::chrono::milliseconds weights_margin{1500};
 constexpr unsigned max_urgency = 9;
@@ -286,8 +289,10 @@
         {
             notes.weights = named->second.version;
         }
-        const bool newest = named == known_.weight_targets.end() ||
-                            notes.weights == named->second.version;
+        const bool fetchable = named == known_.weight_targets.end() ||
+                               notes.weights == named->second.version ||
+                               (!named->second.at_start &&
+                                now - named->second.learned < old_fetch_time);
         const serving::workspace shared;
         // Without known weights nothing may be shared.
         const auto salt =
@@ -297,7 +302,7 @@
                           : serving::cache_salt{call_.id.value()};
         const bool heard = now - known_.operator_heard < operator_trust;
         notes.cache =
-            newest && heard && notes.weights
+            fetchable && heard && notes.weights
                 ? known_.caches.plan(
                       prompt, salt, target.entry.data_centre, now)
                 : serving::cache_plan{.salt = salt};
--- a/src/serving/cache_view.cpp
+++ b/src/serving/cache_view.cpp
@@ -274,19 +274,50 @@
     return cache_salt{std::move(text)};
 }
 
+namespace
+{
+
+/// The fields of a salt of this system: mark and version, model, workspace.
+std::vector<std::string_view> salt_fields(const cache_salt& salt)
+{
+    std::vector<std::string_view> fields;
+    std::string_view text = salt.value();
+    if (!text.starts_with(salt_mark))
+    {
+        return fields;
+    }
+    text.remove_prefix(salt_mark.size());
+    for (auto at = text.find(salt_separator); at != std::string_view::npos;
+         at = text.find(salt_separator))
+    {
+        fields.push_back(text.substr(0, at));
+        text.remove_prefix(at + 1);
+    }
+    fields.push_back(text);
+    return fields;
+}
+
+} // namespace
+
+std::optional<model_id> model_of(const cache_salt& salt)
+{
+    const auto fields = salt_fields(salt);
+    return fields.size() < 2 ? std::nullopt
+                             : std::optional(model_id{std::string(fields[1])});
+}
+
 std::optional<weight_version> version_of(const cache_salt& salt)
 {
-    const std::string& text = salt.value();
-    const auto end = text.find(salt_separator);
-    if (!text.starts_with(salt_mark) || end == std::string::npos)
+    const auto fields = salt_fields(salt);
+    if (fields.size() < 2)
     {
         return std::nullopt;
     }
     std::uint64_t version = 0;
-    const auto* const last = text.data() + end;
+    const auto* const end = fields[0].data() + fields[0].size();
     const auto [stop, failed] =
-        std::from_chars(text.data() + salt_mark.size(), last, version);
-    if (failed != std::errc{} || stop != last)
+        std::from_chars(fields[0].data(), end, version);
+    if (failed != std::errc{} || stop != end)
     {
         return std::nullopt;
     }
--- a/src/serving/cache_view.hpp
+++ b/src/serving/cache_view.hpp
@@ -138,6 +138,9 @@
 [[nodiscard]] cache_salt salt_of(
     const model_id& model, weight_version version, const workspace& of);
 
+/// Returns the model of a salt, nothing for a foreign one.
+[[nodiscard]] std::optional<model_id> model_of(const cache_salt& salt);
+
 /// Returns the weights' version of a salt, nothing for a foreign one.
 [[nodiscard]] std::optional<weight_version> version_of(const cache_salt& salt);
 
--- a/src/serving/upstream_book.cpp
+++ b/src/serving/upstream_book.cpp
@@ -69,7 +69,14 @@
 void upstream_book::put(const upstream& listed)
 {
     auto& state = known_[listed.id];
+    // The list lags behind what agents and answers said; weights only grow.
+    auto weights = std::move(state.entry.weights);
     state.entry = listed;
+    for (const auto& [model, version] : weights)
+    {
+        auto& at = state.entry.weights[model];
+        at = std::max(at, version);
+    }
     state.gone_at.reset();
 }
 
@@ -98,7 +105,7 @@
 
 bool upstream_book::usable(const known_upstream& of, mono_time now) const
 {
-    if (has_left(of, now))
+    if (has_left(of, now) || (load_known(of, now) && of.load.loading))
     {
         return false;
     }
@@ -119,10 +126,45 @@
     return of.failure_share * std::exp2(-std::max(0.0, half_lives));
 }
 
+bool upstream_book::load_known(const known_upstream& of, mono_time now) const
+{
+    return of.load_heard && now - *of.load_heard <= options_.load_trust;
+}
+
+duration upstream_book::expected_wait(
+    const known_upstream& of, mono_time now) const
+{
+    if (!load_known(of, now))
+    {
+        return options_.wait_per_request * of.in_flight;
+    }
+    return options_.wait_per_prompt *
+               (of.load.prompts_waiting + of.sent_since) +
+           options_.wait_per_run * of.load.running;
+}
+
+void upstream_book::take_load(
+    const upstream_id& id, const engine_load& load, mono_time now)
+{
+    const auto found = known_.find(id);
+    if (found == known_.end())
+    {
+        return;
+    }
+    auto& of = found->second;
+    of.load = load;
+    of.load_heard = now;
+    of.sent_since = 0;
+    for (const auto& [model, version] : load.weights)
+    {
+        of.entry.weights.insert_or_assign(model, version);
+    }
+}
+
 duration upstream_book::cost(
     const known_upstream& of, const upstream_query& wanted, mono_time now) const
 {
-    duration sum = options_.wait_per_request * of.in_flight;
+    duration sum = expected_wait(of, now);
     sum += scaled(options_.failure_cost, failures(of, now));
     if (of.entry.data_centre == wanted.near)
     {
@@ -169,8 +211,10 @@
                 ? routing::rendezvous_weight(
                       wanted.home_key, routing::stable_hash(id.value()))
                 : 0;
-        // A small random part keeps entries with equal knowledge apart.
-        const duration noise(static_cast<duration::rep>(random.below(1000)));
+        // Entries with the same word on the load would all choose the same
+        // upstream; this spreads them over those that are about as good.
+        const duration noise(static_cast<duration::rep>(random.below(
+            static_cast<std::uint64_t>(options_.wait_per_prompt.count()))));
         candidates.push_back({&state, cost(state, wanted, now) + noise, home});
     }
     if (candidates.empty())
@@ -240,6 +284,7 @@
     if (found != known_.end())
     {
         ++found->second.in_flight;
+        ++found->second.sent_since;
     }
 }
 
--- a/src/serving/upstream_book.hpp
+++ b/src/serving/upstream_book.hpp
@@ -70,6 +70,18 @@
 /// Names the kind of end for logs and counters.
 [[nodiscard]] std::string_view name(const attempt_end& end) noexcept;
 
+/// What an engine's agent says of its load.
+struct engine_load
+{
+    /// Requests whose prompt is not read yet.
+    std::uint32_t prompts_waiting = 0;
+    /// Requests that make tokens.
+    std::uint32_t running = 0;
+    /// Takes no request until it has loaded weights.
+    bool loading = false;
+    std::map<model_id, weight_version> weights;
+};
+
 struct upstream_book_options
 {
     /// Pause after a first failed connection; doubles with each further one.
@@ -85,9 +97,16 @@
     duration near_bonus = std::chrono::milliseconds(4);
     /// Preference of the home of a prompt's cached parts.
     duration home_bonus = std::chrono::milliseconds(25);
-    /// Expected wait behind each request of this entry at an upstream, per
-    /// slot share.
+    /// Expected wait behind each request of this entry at an upstream without
+    /// a word on its load.
     duration wait_per_request = std::chrono::milliseconds(12);
+    /// Expected wait behind a prompt that is not read yet: a mean one takes
+    /// some ten milliseconds, a long one without cache a hundred.
+    duration wait_per_prompt = std::chrono::milliseconds(45);
+    /// Slowing by each request that makes tokens.
+    duration wait_per_run = std::chrono::milliseconds(2);
+    /// A word on an engine's load counts for this time.
+    duration load_trust = std::chrono::milliseconds(1000);
     /// Cost of a certain failure: an answer that comes late or never.
     duration failure_cost = std::chrono::milliseconds(3000);
     /// Cost of older weights: what such an answer loses.
@@ -138,6 +157,10 @@
     /// forgets live upstreams while the store is away.
     void remove(const upstream_id& id, duration grace, mono_time now);
 
+    /// Takes the word of an engine's agent.
+    void take_load(
+        const upstream_id& id, const engine_load& load, mono_time now);
+
     /// Returns the upstream with the least expected cost, nothing when none
     /// may be used.
     [[nodiscard]] std::optional<chosen_upstream> choose(
@@ -170,6 +193,11 @@
         /// Not used from then on; set when the list does not name it.
         std::optional<mono_time> gone_at;
         std::uint32_t in_flight = 0;
+        engine_load load;
+        /// When its agent last spoke.
+        std::optional<mono_time> load_heard;
+        /// Sent by this entry after that.
+        std::uint32_t sent_since = 0;
         /// At `failures_at`; decays from then on. Within [0, 1].
         double failure_share = 0;
         mono_time failures_at;
@@ -182,6 +210,10 @@
         const known_upstream& of, mono_time now) noexcept;
     [[nodiscard]] bool usable(const known_upstream& of, mono_time now) const;
     [[nodiscard]] double failures(const known_upstream& of, mono_time now) const;
+    [[nodiscard]] bool load_known(
+        const known_upstream& of, mono_time now) const;
+    [[nodiscard]] duration expected_wait(
+        const known_upstream& of, mono_time now) const;
     [[nodiscard]] duration cost(
         const known_upstream& of, const upstream_query& wanted, mono_time now) const;
     void add_experience(known_upstream& of, double failure, mono_time now);
