--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -2,6 +2,7 @@
 #include "agent/app.hpp"
 
 #include "core/overloaded.hpp"
+#include "engine_status/listener.hpp"
 #include "platform/documents.hpp"
 #include "platform/engine_calls.hpp"
 #include "http/endpoint.hpp"
@@ -16,6 +17,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <array>
 #include <stdexcept>
 #include <utility>
 
@@ -75,13 +77,23 @@
       http_(
           context.get_executor(),
           {.connect_timeout = connect_timeout, .max_idle = 1}),
-      words_(context, asio::ip::udp::v4()), turns_({.bound = settings_.bounds.weights})
+      words_(
+          context, asio::ip::udp::endpoint(
+                       asio::ip::make_address(settings_.ip),
+                       settings_.first_port)),
+      turns_({.bound = settings_.bounds.weights})
 {
     operator_table_.start();
     listener_table_.start();
     word_.life = runtime::random_incarnation();
     asio::co_spawn(context_, take_fencing_number(), asio::detached);
     asio::co_spawn(context_, watch_engine(), asio::detached);
+    asio::co_spawn(
+        context_,
+        engine_status::announce_listener(
+            store_, settings_.vm, settings_.ip, settings_.first_port),
+        asio::detached);
+    asio::co_spawn(context_, hear_agents(), asio::detached);
     asio::co_spawn(context_, sweep_stores(), asio::detached);
     telemetry::event("started")
         .with("vm", settings_.vm)
@@ -148,8 +160,9 @@
                             .with("model", target.model)
                             .with("version", target.version)
                             .with(
-                                "turn_in_us",
-                                (turns_.turn_begins(now) - now).count());
+                                "turn_by_us",
+                                (turns_.latest_turn(now) - now).count())
+                            .with("at_once", turns_.engines_at_once());
                     }
                 }},
             read.value());
@@ -183,6 +196,25 @@
     }
 }
 
+asio::awaitable<void> app::hear_agents()
+{
+    std::array<char, engine_status::max_datagram> bytes{};
+    for (;;)
+    {
+        const auto [failed, size] =
+            co_await words_.async_receive(asio::buffer(bytes), completion);
+        if (failed == asio::error::operation_aborted)
+        {
+            co_return;
+        }
+        const auto said = engine_status::decode({bytes.data(), size});
+        if (said && said.value().upstream != self_)
+        {
+            turns_.hear(said.value().upstream, said.value().weights);
+        }
+    }
+}
+
 asio::awaitable<void> app::read_engine_list()
 {
     const auto now = monotonic_clock::now();
@@ -208,22 +240,21 @@
 void app::find_place()
 {
     const auto address = engine_address(settings_);
-    std::size_t rank = 0;
     const auto before = std::exchange(self_, upstream_id{});
+    std::vector<upstream_id> ids;
     for (const auto& [id, entry] : engines_)
     {
+        ids.push_back(id);
         if (entry.address == address)
         {
             self_ = id;
-            if (id != before)
-            {
-                telemetry::event("engine_listed").with("upstream", id);
-            }
-            turns_.place(rank, engines_.size());
-            return;
         }
-        ++rank;
     }
+    if (self_ != before)
+    {
+        telemetry::event("engine_listed").with("upstream", self_);
+    }
+    turns_.place(std::move(ids), self_);
 }
 
 asio::awaitable<void> app::watch_engine()
@@ -276,6 +307,16 @@
             .warning();
         co_return false;
     }
+    if (engine_.weights != read.value().weights)
+    {
+        for (const auto& [model, version] : read.value().weights)
+        {
+            telemetry::event("engine_runs_weights")
+                .with("upstream", self_)
+                .with("model", model)
+                .with("version", version);
+        }
+    }
     engine_ = engine_state{
         .weights = std::move(read.value().weights),
         .busy = read.value().busy,
@@ -355,15 +396,16 @@
         }
         const auto due =
             sweep_.due(cache_stores_, ids, self_, monotonic_clock::now());
-        for (const auto& store : due)
+        for (const auto& one : due)
         {
-            co_await sweep(store);
+            co_await sweep(one);
         }
     }
 }
 
-asio::awaitable<void> app::sweep(serving::cache_store store)
+asio::awaitable<void> app::sweep(cache_sweep::due_sweep due)
 {
+    const auto& store = due.store;
     auto list_call = platform::cache_content_call();
     const auto listed = co_await http_.fetch(
         store.address, std::move(list_call), store_timeout);
@@ -378,7 +420,7 @@
             .warning();
         co_return;
     }
-    auto parts = sweep_.outdated(content.value());
+    auto parts = parts_before(content.value(), due.model, due.oldest_kept);
     telemetry::event("cache_sweep")
         .with("store", store.service)
         .with("held", content.value().held.size())
--- a/src/agent/app.hpp
+++ b/src/agent/app.hpp
@@ -39,7 +39,8 @@
     asio::awaitable<bool> read_engine();
     asio::awaitable<void> give_order(due_order order);
     asio::awaitable<void> sweep_stores();
-    asio::awaitable<void> sweep(serving::cache_store store);
+    asio::awaitable<void> sweep(cache_sweep::due_sweep due);
+    asio::awaitable<void> hear_agents();
 
     void take_operator_rows(const platform::row_set& rows);
     void take_listener_rows(const platform::row_set& rows, bool whole_table);
--- a/src/agent/cache_sweep.cpp
+++ b/src/agent/cache_sweep.cpp
@@ -36,46 +36,52 @@
 
 void cache_sweep::name(const serving::weight_target& target, mono_time now)
 {
-    newest_.insert_or_assign(target.model, target.version);
-    named_ = now;
-    swept_.clear();
+    constexpr std::size_t max_namings = 8;
+    if (namings_.size() == max_namings)
+    {
+        namings_.erase(namings_.begin());
+    }
+    namings_.push_back({.target = target, .at = now, .swept = {}});
 }
 
-std::vector<serving::cache_store> cache_sweep::due(
+std::vector<cache_sweep::due_sweep> cache_sweep::due(
     const std::vector<serving::cache_store>& stores,
     const std::vector<upstream_id>& engines, const upstream_id& self,
     mono_time now)
 {
-    std::vector<serving::cache_store> now_due;
-    if (!named_ || self.value().empty())
+    std::vector<due_sweep> sweeps;
+    if (self.value().empty())
     {
-        return now_due;
+        return sweeps;
     }
-    for (const auto& store : stores)
+    for (auto& named : namings_)
     {
-        const auto place = place_for(store, engines, self);
-        const auto at = *named_ + options_.rest +
-                        options_.turn * static_cast<duration::rep>(place);
-        if (place < options_.agents && now >= at &&
-            swept_.emplace(store.service, now).second)
+        for (const auto& store : stores)
         {
-            now_due.push_back(store);
+            const auto place = place_for(store, engines, self);
+            const auto at = named.at + options_.rest +
+                            options_.turn * static_cast<duration::rep>(place);
+            if (place < options_.agents && now >= at &&
+                named.swept.insert(store.service).second)
+            {
+                sweeps.push_back(
+                    {store, named.target.model, named.target.version});
+            }
         }
     }
-    return now_due;
+    return sweeps;
 }
 
-std::vector<serving::kept_part> cache_sweep::outdated(
-    const serving::cache_content& content) const
+std::vector<serving::kept_part> parts_before(
+    const serving::cache_content& content, const model_id& model,
+    weight_version oldest_kept)
 {
     std::vector<serving::kept_part> parts;
     const auto add = [&](const serving::kept_part& part)
     {
-        const auto model = serving::model_of(part.salt);
         const auto version = serving::version_of(part.salt);
-        const auto newest =
-            model ? newest_.find(*model) : newest_.end();
-        if (version && newest != newest_.end() && *version < newest->second)
+        if (version && *version < oldest_kept &&
+            serving::model_of(part.salt) == model)
         {
             parts.push_back(part);
         }
--- a/src/agent/cache_sweep.hpp
+++ b/src/agent/cache_sweep.hpp
@@ -7,8 +7,7 @@
 #include "serving/cache_view.hpp"
 #include "serving/configuration.hpp"
 
-#include <map>
-#include <optional>
+#include <set>
 #include <vector>
 
 namespace wagtailseam::agent
@@ -18,9 +17,9 @@
 {
     /// From the naming of weights until parts of older ones are freed. Longer
     /// than any process may plan a fetch of them (it must have heard of the
-    /// operator's table 2.8 s ago or later, and plans such fetches for 1 s
-    /// after it learned of the weights), and than such a fetch lasts (0.7 s).
-    duration rest = std::chrono::milliseconds(5000);
+    /// operator's table 2.8 s ago or later, and plans such fetches for 5.5 s
+    /// after it learned of the weights), and than such a fetch lasts (0.3 s).
+    duration rest = std::chrono::milliseconds(9000);
     /// A second agent sweeps this much later, should the first be away.
     duration turn = std::chrono::milliseconds(1500);
     /// Agents that sweep one store, one after the other.
@@ -36,26 +35,42 @@
     /// Newer weights were named.
     void name(const serving::weight_target& target, mono_time now);
 
-    /// Returns the stores that this agent sweeps now, each once after every
-    /// naming.
-    /// @param self null while this engine is not listed
-    [[nodiscard]] std::vector<serving::cache_store> due(
+    /// A store to sweep, and the oldest weights whose parts stay.
+    struct due_sweep
+    {
+        serving::cache_store store;
+        model_id model;
+        weight_version oldest_kept;
+    };
+
+    /// Returns the sweeps of this agent that are due now, each once after
+    /// every naming.
+    /// @param self empty while this engine is not listed
+    [[nodiscard]] std::vector<due_sweep> due(
         const std::vector<serving::cache_store>& stores,
         const std::vector<upstream_id>& engines, const upstream_id& self,
         mono_time now);
 
-    /// Returns the parts of a store's content that belong to replaced weights.
-    [[nodiscard]] std::vector<serving::kept_part> outdated(
-        const serving::cache_content& content) const;
-
 private:
+    struct naming
+    {
+        serving::weight_target target;
+        mono_time at;
+        /// Stores swept for it by this agent.
+        std::set<serving::service_id> swept;
+    };
+
     cache_sweep_options options_;
-    std::map<model_id, weight_version> newest_;
-    std::optional<mono_time> named_;
-    /// Stores swept since then.
-    std::map<serving::service_id, mono_time> swept_;
+    /// In the order in which they came; old ones are dropped.
+    std::vector<naming> namings_;
 };
 
+/// Returns the parts of a store's content that belong to a model's weights
+/// before a version.
+[[nodiscard]] std::vector<serving::kept_part> parts_before(
+    const serving::cache_content& content, const model_id& model,
+    weight_version oldest_kept);
+
 } // namespace wagtailseam::agent
 
 #endif
--- a/src/agent/weight_turns.cpp
+++ b/src/agent/weight_turns.cpp
@@ -4,6 +4,8 @@
 #include <boost/assert.hpp>
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace wagtailseam::agent
 {
@@ -11,7 +13,7 @@
 weight_turns::weight_turns(const weight_turn_options& options)
     : options_(options)
 {
-    BOOST_ASSERT(options.turn > duration::zero());
+    BOOST_ASSERT(options.absence > duration::zero());
 }
 
 bool weight_turns::name(const serving::weight_target& target, mono_time now)
@@ -26,23 +28,70 @@
     return true;
 }
 
-void weight_turns::place(std::size_t rank, std::size_t count)
+void weight_turns::place(
+    std::vector<upstream_id> engines, const upstream_id& self)
 {
-    BOOST_ASSERT(rank < count);
-    rank_ = rank;
-    count_ = count;
+    engines_ = std::move(engines);
+    const auto own = std::find(engines_.begin(), engines_.end(), self);
+    rank_ = own == engines_.end()
+                ? 0
+                : static_cast<std::size_t>(own - engines_.begin());
+    std::erase_if(
+        heard_,
+        [&](const auto& entry)
+        {
+            return std::find(engines_.begin(), engines_.end(), entry.first) ==
+                   engines_.end();
+        });
 }
 
-mono_time weight_turns::turn_begins(mono_time named) const
+void weight_turns::hear(
+    const upstream_id& engine,
+    const std::map<model_id, weight_version>& weights)
+{
+    heard_.insert_or_assign(engine, weights);
+}
+
+std::size_t weight_turns::engines_at_once() const
 {
     const auto planned =
         static_cast<double>(options_.bound.count()) * options_.planned_part;
-    const auto turns = std::max<std::size_t>(
+    const double turns =
+        std::max(1.0, planned / static_cast<double>(options_.absence.count()));
+    return std::max<std::size_t>(
         1, static_cast<std::size_t>(
-               planned / static_cast<double>(options_.turn.count())));
-    const std::size_t engines_a_turn = (count_ + turns - 1) / turns;
+               std::ceil(static_cast<double>(engines_.size()) / turns)));
+}
+
+mono_time weight_turns::latest_turn(mono_time named) const
+{
+    const auto planned =
+        static_cast<double>(options_.bound.count()) * options_.planned_part;
+    const double before = static_cast<double>(rank_) /
+                          static_cast<double>(
+                              std::max<std::size_t>(1, engines_.size()));
     return named +
-           options_.turn * static_cast<duration::rep>(rank_ / engines_a_turn);
+           duration(static_cast<duration::rep>(planned * before));
+}
+
+bool weight_turns::has_turn(
+    const model_id& model, const target_state& target, mono_time now) const
+{
+    if (now >= latest_turn(target.named))
+    {
+        return true;
+    }
+    // Those before this engine that do not run the weights yet.
+    std::size_t before = 0;
+    for (std::size_t rank = 0; rank < rank_; ++rank)
+    {
+        const auto word = heard_.find(engines_[rank]);
+        const bool done =
+            word != heard_.end() && word->second.contains(model) &&
+            word->second.at(model) >= target.version;
+        before += done ? 0 : 1;
+    }
+    return before < engines_at_once();
 }
 
 bool weight_turns::behind(const engine_state& engine) const
@@ -68,7 +117,7 @@
     {
         const auto runs = engine.weights.find(model);
         if (runs == engine.weights.end() || runs->second >= target.version ||
-            now < turn_begins(target.named))
+            !has_turn(model, target, now))
         {
             continue;
         }
--- a/src/agent/weight_turns.hpp
+++ b/src/agent/weight_turns.hpp
@@ -20,11 +20,12 @@
 {
     /// Time in which all engines must have the weights.
     duration bound = std::chrono::seconds(8);
-    /// Part of the bound in which every engine has had its turn; the rest is
-    /// for orders that were lost.
-    double planned_part = 0.42;
-    /// Length of a turn: a load of about 0.6 s, and the end of the runs before.
-    duration turn = std::chrono::milliseconds(800);
+    /// Part of the bound in which every engine has had its turn, whatever
+    /// became of those before it; the rest is for orders that were lost.
+    double planned_part = 0.72;
+    /// Time for which an engine takes no requests: the end of the runs before,
+    /// and a load of about 0.6 s.
+    duration absence = std::chrono::milliseconds(1200);
     /// An order without effect is given again after this time.
     duration repeat_after = std::chrono::milliseconds(1500);
 };
@@ -58,16 +59,24 @@
     /// @return whether they are new
     bool name(const serving::weight_target& target, mono_time now);
 
-    /// Sets this engine's place among the upstreams of its service.
-    /// @pre rank < count
-    void place(std::size_t rank, std::size_t count);
+    /// Sets the engines of this service, in the order of their turns.
+    void place(std::vector<upstream_id> engines, const upstream_id& self);
+
+    /// Takes the word of another engine's agent.
+    void hear(
+        const upstream_id& engine,
+        const std::map<model_id, weight_version>& weights);
+
+    /// Returns how many engines load at once, so that all have their turn.
+    [[nodiscard]] std::size_t engines_at_once() const;
 
     /// Returns the order that is due, which counts as given now.
     [[nodiscard]] std::optional<due_order> due(
         const engine_state& engine, mono_time now);
 
-    /// Returns when this engine's turn begins for weights named at `named`.
-    [[nodiscard]] mono_time turn_begins(mono_time named) const;
+    /// Returns when this engine's turn begins at the latest for weights named
+    /// at `named`.
+    [[nodiscard]] mono_time latest_turn(mono_time named) const;
 
     /// Whether the engine runs older weights than named.
     [[nodiscard]] bool behind(const engine_state& engine) const;
@@ -81,11 +90,16 @@
         std::optional<mono_time> ordered;
     };
 
+    [[nodiscard]] bool has_turn(
+        const model_id& model, const target_state& target, mono_time now) const;
+
     weight_turn_options options_;
     std::map<model_id, target_state> targets_;
+    std::vector<upstream_id> engines_;
+    /// Place of this engine in engines_; 0 while it is not listed.
     std::size_t rank_ = 0;
-    /// At least 1.
-    std::size_t count_ = 1;
+    /// What other engines run, as last heard.
+    std::map<upstream_id, std::map<model_id, weight_version>> heard_;
 };
 
 } // namespace wagtailseam::agent
--- a/src/engine_status/status.hpp
+++ b/src/engine_status/status.hpp
@@ -14,9 +14,8 @@
 namespace wagtailseam::engine_status
 {
 
-/// Table of the platform's store in which gateways name the address that
-/// takes these datagrams; the key is the gateway's VM.
-inline constexpr const char* listener_table = "status_listeners";
+/// Longer datagrams are not sent.
+inline constexpr std::size_t max_datagram = 1400;
 
 struct status
 {
--- a/src/gateway/feeds.cpp
+++ b/src/gateway/feeds.cpp
@@ -2,6 +2,7 @@
 #include "gateway/feeds.hpp"
 
 #include "core/overloaded.hpp"
+#include "engine_status/listener.hpp"
 #include "engine_status/status.hpp"
 #include "platform/documents.hpp"
 #include "platform/request_codec.hpp"
@@ -36,8 +37,6 @@
 /// this long after its return.
 constexpr std::chrono::milliseconds relisting_time{2500};
 constexpr std::chrono::seconds unstable_time{3};
-constexpr std::chrono::milliseconds announce_pause{1000};
-constexpr std::size_t max_datagram = 1500;
 constexpr unsigned status_ok = 200;
 
 } // namespace
@@ -72,30 +71,18 @@
 {
     operator_table_.start();
     upstream_table_.start();
-    asio::co_spawn(context_, announce_listener(), asio::detached);
+    asio::co_spawn(
+        context_,
+        engine_status::announce_listener(
+            store_, known_.settings.vm, known_.settings.ip,
+            known_.settings.first_port),
+        asio::detached);
     asio::co_spawn(context_, hear_agents(), asio::detached);
 }
 
-asio::awaitable<void> feeds::announce_listener()
-{
-    const auto& settings = known_.settings;
-    const std::string address =
-        settings.ip + ":" + std::to_string(settings.first_port);
-    for (;;)
-    {
-        const auto written = co_await store_.put(
-            engine_status::listener_table, settings.vm.value(), address);
-        if (written)
-        {
-            co_return;
-        }
-        co_await pause(announce_pause);
-    }
-}
-
 asio::awaitable<void> feeds::hear_agents()
 {
-    std::array<char, max_datagram> bytes{};
+    std::array<char, engine_status::max_datagram> bytes{};
     for (;;)
     {
         const auto [failed, size] =
--- a/src/gateway/feeds.hpp
+++ b/src/gateway/feeds.hpp
@@ -35,7 +35,6 @@
     void start();
 
 private:
-    asio::awaitable<void> announce_listener();
     asio::awaitable<void> hear_agents();
     asio::awaitable<void> follow_cache(serving::cache_store store);
     asio::awaitable<bool> poll_cache(const serving::cache_store& store);
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -40,9 +40,14 @@
 constexpr std::chrono::milliseconds operator_trust{2800};
 /// Parts of older weights are fetched this long after newer were named, while
 /// upstreams still change; agent::cache_sweep_options::rest is longer.
-constexpr std::chrono::milliseconds old_fetch_time{1000};
+constexpr std::chrono::milliseconds old_fetch_time{5500};
 /// Requests keep off older weights this long before the agreed time.
 constexpr std::chrono::milliseconds weights_margin{1500};
+/// Part of the latency target that each prompt waiting before a request may
+/// take of it.
+constexpr std::chrono::milliseconds prompt_allowance{100};
+/// A caller that was refused before goes before new ones by as many prompts.
+constexpr std::uint32_t returned_allowance = 3;
 constexpr unsigned max_urgency = 9;
 constexpr duration least_retry_after = std::chrono::milliseconds(100);
 /// Callers heed a Retry-After up to this part of the time they have left.
@@ -180,6 +185,7 @@
     {
         return wanted;
     }
+    wanted.max_prompts_waiting = max_prompts_waiting();
     const auto target =
         known_.weight_targets.find(call_.asked_prompt->model);
     if (target != known_.weight_targets.end())
@@ -199,6 +205,17 @@
     return wanted;
 }
 
+std::uint32_t request_run::max_prompts_waiting() const
+{
+    const auto by_target = static_cast<std::uint32_t>(
+        route_->latency_target / prompt_allowance);
+    // More urgent prompts pass those that wait.
+    const std::uint32_t by_rank =
+        route_->priority == 0 ? by_target * 2 : by_target;
+    const bool came_back = call_.time_left < route_->timeout * 9 / 10;
+    return std::max(1U, by_rank) + (came_back ? returned_allowance : 0);
+}
+
 asio::awaitable<void> request_run::attempt_until_done()
 {
     for (;;)
@@ -213,11 +230,15 @@
             code_ = result_code::deadline_passed;
             break;
         }
-        auto target = known_.upstreams.choose(
+        const auto choice = known_.upstreams.choose(
             query(), known_.random, monotonic_clock::now());
-        if (!target)
+        const auto* const target =
+            std::get_if<serving::chosen_upstream>(&choice);
+        if (target == nullptr)
         {
-            code_ = result_code::no_upstream;
+            code_ = std::holds_alternative<serving::all_overloaded>(choice)
+                        ? result_code::queue_full
+                        : result_code::no_upstream;
             if (co_await wait_for_upstream())
             {
                 continue;
@@ -235,7 +256,7 @@
             code_ = result_code::retry_budget_spent;
             break;
         }
-        const auto next = co_await attempt(std::move(*target));
+        const auto next = co_await attempt(*target);
         if (next == next_step::finished)
         {
             co_return;
@@ -304,7 +325,8 @@
         notes.cache =
             fetchable && heard && notes.weights
                 ? known_.caches.plan(
-                      prompt, salt, target.entry.data_centre, now)
+                      prompt, salt, target.entry.data_centre,
+                      route_->latency_target, now)
                 : serving::cache_plan{.salt = salt};
     }
     return platform::encode_dispatch(call_, notes);
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -53,6 +53,8 @@
     asio::awaitable<void> give_final_answer();
 
     [[nodiscard]] serving::upstream_query query() const;
+    /// Prompts that may wait before this one at an engine.
+    [[nodiscard]] std::uint32_t max_prompts_waiting() const;
     [[nodiscard]] http::request message_for(
         const serving::chosen_upstream& target);
     [[nodiscard]] http::open_options options_for(
--- a/src/serving/cache_view.hpp
+++ b/src/serving/cache_view.hpp
@@ -66,9 +66,10 @@
     /// from: it may have restarted empty, and then a part under the same name
     /// may be half written. Covers one poll and its way.
     duration trust = std::chrono::milliseconds(1600);
-    /// A fetch that takes longer is thrown away; far above a transfer at the
-    /// slowest link seen, and below half of the latency targets.
-    duration fetch_limit = std::chrono::milliseconds(700);
+    /// A fetch that takes longer than this part of the latency target is
+    /// thrown away: it holds the engine's memory all the while, and the prompt
+    /// can still be read in time.
+    double fetch_part_of_target = 0.3;
     /// A part that this process sent to be kept is not sent again for this
     /// time, in which the store reports it or it was lost.
     duration save_pause = std::chrono::seconds(2);
@@ -102,7 +103,7 @@
     /// of the request itself, is neither fetched nor kept.
     [[nodiscard]] cache_plan plan(
         const prompt& wanted, const cache_salt& salt,
-        const data_centre_id& near, mono_time now);
+        const data_centre_id& near, duration latency_target, mono_time now);
 
     [[nodiscard]] std::size_t parts_known() const noexcept;
 
--- a/src/serving/upstream_book.cpp
+++ b/src/serving/upstream_book.cpp
@@ -138,11 +138,17 @@
     {
         return options_.wait_per_request * of.in_flight;
     }
-    return options_.wait_per_prompt *
-               (of.load.prompts_waiting + of.sent_since) +
+    return options_.wait_per_prompt * prompts_waiting(of, now) +
            options_.wait_per_run * of.load.running;
 }
 
+std::uint32_t upstream_book::prompts_waiting(
+    const known_upstream& of, mono_time now) const
+{
+    return load_known(of, now) ? of.load.prompts_waiting + of.sent_since
+                               : of.in_flight;
+}
+
 void upstream_book::take_load(
     const upstream_id& id, const engine_load& load, mono_time now)
 {
@@ -181,7 +187,7 @@
     return sum;
 }
 
-std::optional<chosen_upstream> upstream_book::choose(
+choice upstream_book::choose(
     const upstream_query& wanted, random_source& random, mono_time now)
 {
     struct candidate
@@ -191,6 +197,7 @@
         std::uint64_t home = 0;
     };
     std::vector<candidate> candidates;
+    bool overloaded = false;
     for (const auto& [id, state] : known_)
     {
         if (state.entry.service != wanted.service ||
@@ -206,6 +213,12 @@
                 continue;
             }
         }
+        if (wanted.max_prompts_waiting &&
+            prompts_waiting(state, now) >= *wanted.max_prompts_waiting)
+        {
+            overloaded = true;
+            continue;
+        }
         const std::uint64_t home =
             wanted.home_key != 0
                 ? routing::rendezvous_weight(
@@ -219,7 +232,7 @@
     }
     if (candidates.empty())
     {
-        return std::nullopt;
+        return overloaded ? choice(all_overloaded{}) : choice(none_usable{});
     }
     if (wanted.home_key != 0)
     {
--- a/src/serving/upstream_book.hpp
+++ b/src/serving/upstream_book.hpp
@@ -102,7 +102,7 @@
     duration wait_per_request = std::chrono::milliseconds(12);
     /// Expected wait behind a prompt that is not read yet: a mean one takes
     /// some ten milliseconds, a long one without cache a hundred.
-    duration wait_per_prompt = std::chrono::milliseconds(45);
+    duration wait_per_prompt = std::chrono::milliseconds(60);
     /// Slowing by each request that makes tokens.
     duration wait_per_run = std::chrono::milliseconds(2);
     /// A word on an engine's load counts for this time.
@@ -110,7 +110,7 @@
     /// Cost of a certain failure: an answer that comes late or never.
     duration failure_cost = std::chrono::milliseconds(3000);
     /// Cost of older weights: what such an answer loses.
-    duration old_weights_cost = std::chrono::milliseconds(200);
+    duration old_weights_cost = std::chrono::milliseconds(40);
 };
 
 /// What is looked for.
@@ -125,6 +125,9 @@
     weight_version wanted;
     /// Older weights than wanted are not used at all.
     bool only_wanted = false;
+    /// Engines before which as many prompts wait are not used: their tokens
+    /// come too slowly for all. Nothing: no bound.
+    std::optional<std::uint32_t> max_prompts_waiting;
     /// Not these again.
     std::set<upstream_id> tried;
 };
@@ -141,6 +144,18 @@
     double failure_share = 0;
 };
 
+/// Every upstream that takes work has too many prompts waiting.
+struct all_overloaded
+{
+};
+
+/// No upstream takes work.
+struct none_usable
+{
+};
+
+using choice = std::variant<chosen_upstream, all_overloaded, none_usable>;
+
 /// Not thread-safe. Memory and time: linear in the upstreams.
 class upstream_book
 {
@@ -161,9 +176,8 @@
     void take_load(
         const upstream_id& id, const engine_load& load, mono_time now);
 
-    /// Returns the upstream with the least expected cost, nothing when none
-    /// may be used.
-    [[nodiscard]] std::optional<chosen_upstream> choose(
+    /// Returns the upstream with the least expected cost.
+    [[nodiscard]] choice choose(
         const upstream_query& wanted, random_source& random, mono_time now);
 
     /// Whether any upstream of the service takes work.
@@ -210,6 +224,8 @@
         const known_upstream& of, mono_time now) noexcept;
     [[nodiscard]] bool usable(const known_upstream& of, mono_time now) const;
     [[nodiscard]] double failures(const known_upstream& of, mono_time now) const;
+    [[nodiscard]] std::uint32_t prompts_waiting(
+        const known_upstream& of, mono_time now) const;
     [[nodiscard]] bool load_known(
         const known_upstream& of, mono_time now) const;
     [[nodiscard]] duration expected_wait(
