--- a/src/agent/weight_turns.hpp
+++ b/src/agent/weight_turns.hpp
@@ -25,7 +25,7 @@
     double planned_part = 0.72;
     /// Time for which an engine takes no requests: the end of the runs before,
     /// and a load of about 0.6 s.
-    duration absence = std::chrono::milliseconds(1200);
+    duration absence = std::chrono::milliseconds(800);
     /// An order without effect is given again after this time.
     duration repeat_after = std::chrono::milliseconds(1500);
 };
