--- a/src/serving/cache_view.hpp
+++ b/src/serving/cache_view.hpp
@@ -69,7 +69,7 @@
     /// A fetch that takes longer than this part of the latency target is
     /// thrown away: it holds the engine's memory all the while, and the prompt
     /// can still be read in time.
-    double fetch_part_of_target = 0.3;
+    double fetch_part_of_target = 0.55;
     /// A part that this process sent to be kept is not sent again for this
     /// time, in which the store reports it or it was lost.
     duration save_pause = std::chrono::seconds(2);
--- a/src/serving/upstream_book.hpp
+++ b/src/serving/upstream_book.hpp
@@ -96,7 +96,7 @@
     /// Preference, as waiting time, of an upstream of the own data centre.
     duration near_bonus = std::chrono::milliseconds(4);
     /// Preference of the home of a prompt's cached parts.
-    duration home_bonus = std::chrono::milliseconds(25);
+    duration home_bonus = std::chrono::milliseconds(45);
     /// Expected wait behind each request of this entry at an upstream without
     /// a word on its load.
     duration wait_per_request = std::chrono::milliseconds(12);
