--- /dev/null
+++ b/src/serving/test/cache_view_test.cpp
@@ -0,0 +1,250 @@
+// What is fetched from a cache store and what is not, when stores restart,
+// fall silent or lose events.
+#include "serving/cache_view.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace wagtailseam::serving
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const service_id store_name{"store"};
+const http::address store_address{"10.0.0.9:80"};
+const cache_salt salt{"w1.m"};
+const data_centre_id here{"here"};
+
+class cache_view_fixture : public testing::Test
+{
+protected:
+    cache_view_fixture()
+    {
+        view_.use(
+            {{.service = store_name,
+              .address = store_address,
+              .data_centre = here,
+              .capacity = token_count{1000}}});
+    }
+
+    void hear(
+        std::uint64_t epoch, std::vector<cache_change> changes = {},
+        bool gap = false)
+    {
+        view_.take(
+            store_name,
+            cache_changes{
+                .epoch = store_epoch{epoch},
+                .next = ++next_,
+                .gap = gap,
+                .clock_ms = 5'000'000,
+                .changes = std::move(changes)},
+            now_);
+    }
+
+    [[nodiscard]] static cache_change kept(
+        const std::string& part, std::uint64_t tokens)
+    {
+        return {{salt, part_id{part}}, token_count{tokens}};
+    }
+
+    [[nodiscard]] cache_plan plan()
+    {
+        return view_.plan(asked_, salt, here, milliseconds(500), now_);
+    }
+
+    cache_view view_;
+    mono_time now_{seconds(1000)};
+    std::uint64_t next_ = 0;
+    prompt asked_{
+        .model = model_id{"m"},
+        .parts = {
+            {part_id{"a"}, token_count{100}},
+            {part_id{"b"}, token_count{200}},
+            {part_id{"own"}, token_count{30}}}};
+};
+
+TEST_F(cache_view_fixture, nothing_is_fetched_or_kept_before_store_spoke)
+{
+    const auto made = plan();
+    EXPECT_FALSE(made.parts[0].fetch_from);
+    EXPECT_FALSE(made.parts[0].save_to);
+}
+
+TEST_F(cache_view_fixture, complete_part_is_fetched_and_missing_one_kept)
+{
+    hear(1, {kept("a", 100)});
+    const auto made = plan();
+    EXPECT_EQ(made.parts[0].fetch_from, store_address);
+    EXPECT_FALSE(made.parts[0].save_to);
+    EXPECT_FALSE(made.parts[1].fetch_from);
+    EXPECT_EQ(made.parts[1].save_to, store_address);
+}
+
+TEST_F(cache_view_fixture, part_of_the_request_itself_is_left_alone)
+{
+    hear(1, {kept("own", 30)});
+    const auto made = plan();
+    EXPECT_FALSE(made.parts[2].fetch_from);
+    EXPECT_FALSE(made.parts[2].save_to);
+}
+
+TEST_F(cache_view_fixture, part_kept_shorter_than_asked_is_not_fetched)
+{
+    hear(1, {kept("a", 99)});
+    EXPECT_FALSE(plan().parts[0].fetch_from);
+}
+
+TEST_F(cache_view_fixture, part_after_a_missing_one_is_not_fetched)
+{
+    hear(1, {kept("b", 200)});
+    EXPECT_FALSE(plan().parts[1].fetch_from);
+}
+
+TEST_F(cache_view_fixture, part_under_other_salt_is_not_fetched)
+{
+    hear(1, {{{cache_salt{"w2.m"}, part_id{"a"}}, token_count{100}}});
+    EXPECT_FALSE(plan().parts[0].fetch_from);
+}
+
+TEST_F(cache_view_fixture, freed_part_is_not_fetched)
+{
+    hear(1, {kept("a", 100)});
+    hear(1, {kept("a", 0)});
+    EXPECT_FALSE(plan().parts[0].fetch_from);
+}
+
+TEST_F(cache_view_fixture, restarted_store_is_believed_empty)
+{
+    hear(1, {kept("a", 100)});
+    hear(2);
+    EXPECT_FALSE(plan().parts[0].fetch_from);
+}
+
+TEST_F(cache_view_fixture, gap_drops_belief_and_asks_for_the_content)
+{
+    hear(1, {kept("a", 100)});
+    EXPECT_TRUE(view_.take(
+        store_name,
+        cache_changes{.epoch = store_epoch{1}, .next = 9, .gap = true}, now_));
+    EXPECT_FALSE(plan().parts[0].fetch_from);
+}
+
+TEST_F(cache_view_fixture, silent_store_is_not_fetched_from)
+{
+    // It may have restarted, and be writing the same part anew.
+    hear(1, {kept("a", 100)});
+    now_ += milliseconds(1601);
+    EXPECT_FALSE(plan().parts[0].fetch_from);
+}
+
+TEST_F(cache_view_fixture, broken_connection_drops_belief_at_once)
+{
+    hear(1, {kept("a", 100)});
+    view_.lost(store_name);
+    EXPECT_FALSE(plan().parts[0].fetch_from);
+    EXPECT_EQ(view_.next_change(store_name), 0U);
+}
+
+TEST_F(cache_view_fixture, fetch_ends_within_part_of_the_latency_target)
+{
+    hear(1, {kept("a", 100)});
+    now_ += milliseconds(100);
+    EXPECT_EQ(plan().fetch_until_ms, 5'000'000 + 100 + 275);
+}
+
+TEST_F(cache_view_fixture, part_sent_to_be_kept_is_not_sent_again_soon)
+{
+    hear(1);
+    EXPECT_TRUE(plan().parts[0].save_to);
+    EXPECT_FALSE(plan().parts[0].save_to);
+    now_ += milliseconds(2001);
+    hear(1);
+    EXPECT_TRUE(plan().parts[0].save_to);
+}
+
+TEST_F(cache_view_fixture, configuration_that_keeps_a_store_keeps_its_content)
+{
+    hear(1, {kept("a", 100)});
+    view_.use(
+        {{.service = store_name,
+          .address = store_address,
+          .capacity = token_count{1000}}});
+    EXPECT_TRUE(plan().parts[0].fetch_from);
+    view_.use({});
+    EXPECT_FALSE(plan().parts[0].fetch_from);
+}
+
+RC_GTEST_PROP(
+    cache_view, only_parts_held_in_the_present_epoch_are_fetched,
+    (const std::vector<std::uint8_t>& steps))
+{
+    // A store's content as it really is, beside what the view is told of it.
+    cache_view view;
+    view.use(
+        {{.service = store_name,
+          .address = store_address,
+          .capacity = token_count{1000}}});
+    mono_time now{seconds(1000)};
+    std::uint64_t epoch = 1;
+    std::uint64_t next = 0;
+    std::map<part_id, bool> held;
+    const prompt asked{
+        .parts = {
+            {part_id{"a"}, token_count{10}}, {part_id{"z"}, token_count{1}}}};
+    for (const auto step : steps)
+    {
+        now += milliseconds(step);
+        cache_changes told{
+            .epoch = store_epoch{epoch}, .next = ++next, .clock_ms = 1};
+        const bool complete = step % 3 == 0;
+        switch (step / 3 % 4)
+        {
+        case 0:
+            held[part_id{"a"}] = complete;
+            told.changes = {
+                {{salt, part_id{"a"}}, token_count{complete ? 10U : 0U}}};
+            view.take(store_name, told, now);
+            break;
+        case 1:
+            held.clear();
+            ++epoch;
+            view.lost(store_name);
+            break;
+        case 2:
+            told.epoch = store_epoch{epoch};
+            view.take(store_name, told, now);
+            break;
+        default:
+            break;
+        }
+        const auto made =
+            view.plan(asked, salt, data_centre_id{}, milliseconds(500), now);
+        if (made.parts[0].fetch_from)
+        {
+            RC_ASSERT(held[part_id{"a"}]);
+        }
+    }
+}
+
+TEST(cache_salt, names_weights_and_isolated_workspace)
+{
+    const model_id model{"m"};
+    const workspace open{.id = workspace_id{"w"}};
+    const workspace walled{.id = workspace_id{"w"}, .isolated = true};
+    const auto shared = salt_of(model, weight_version{3}, open);
+    EXPECT_EQ(version_of(shared), weight_version{3});
+    EXPECT_EQ(model_of(shared), model);
+    EXPECT_NE(shared, salt_of(model, weight_version{4}, open));
+    EXPECT_NE(shared, salt_of(model, weight_version{3}, walled));
+    EXPECT_EQ(version_of(salt_of(model, weight_version{3}, walled)),
+              weight_version{3});
+    EXPECT_FALSE(version_of(cache_salt{"foreign"}));
+    EXPECT_FALSE(version_of(cache_salt{"wx.m"}));
+}
+
+} // namespace
+} // namespace wagtailseam::serving
--- /dev/null
+++ b/src/serving/test/route_table_test.cpp
@@ -0,0 +1,96 @@
+// Routes by host and prefix, workspaces by key.
+#include "serving/route_table.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace wagtailseam::serving
+{
+namespace
+{
+
+route make_route(std::string name, std::string prefix)
+{
+    route made;
+    made.name = std::move(name);
+    made.host = "a.example";
+    made.path_prefix = std::move(prefix);
+    made.services = {{service_id{"s"}, 1.0}};
+    return made;
+}
+
+class route_table_fixture : public testing::Test
+{
+protected:
+    route_table_fixture()
+        : table_([] {
+              configuration source;
+              source.routes = {
+                  make_route("short", "/a/"), make_route("long", "/a/b/")};
+              source.workspaces = {
+                  {.id = workspace_id{"w1"}, .keys = {"k1", "k2"}},
+                  {.id = workspace_id{"w2"}, .keys = {"k3"}}};
+              return source;
+          }())
+    {
+    }
+
+    [[nodiscard]] std::string route_of(
+        std::string_view host, std::string_view path) const
+    {
+        const auto* const found = table_.find(host, path);
+        return found == nullptr ? "none" : found->name;
+    }
+
+    route_table table_;
+};
+
+TEST_F(route_table_fixture, path_under_two_prefixes_takes_longest)
+{
+    EXPECT_EQ(route_of("a.example", "/a/b/c"), "long");
+    EXPECT_EQ(route_of("a.example", "/a/bc"), "short");
+}
+
+TEST_F(route_table_fixture, other_host_or_path_finds_none)
+{
+    EXPECT_EQ(route_of("b.example", "/a/b/c"), "none");
+    EXPECT_EQ(route_of("a.example", "/b/"), "none");
+    EXPECT_EQ(route_of("a.example", "/a"), "none");
+}
+
+TEST_F(route_table_fixture, key_finds_its_workspace_only)
+{
+    ASSERT_NE(table_.owner("k2"), nullptr);
+    EXPECT_EQ(table_.owner("k2")->id, workspace_id{"w1"});
+    EXPECT_EQ(table_.owner("k4"), nullptr);
+    EXPECT_EQ(table_.owner(""), nullptr);
+}
+
+RC_GTEST_PROP(draw_service, weight_zero_is_never_drawn, (std::uint64_t seed))
+{
+    route from = make_route("r", "/");
+    from.services = {
+        {service_id{"never"}, 0.0},
+        {service_id{"some"}, 10.0},
+        {service_id{"most"}, 90.0}};
+    random_source random(seed);
+    RC_ASSERT(draw_service(from, random) != service_id{"never"});
+}
+
+TEST(draw_service, shares_follow_weights)
+{
+    constexpr int draws = 10'000;
+    route from = make_route("r", "/");
+    from.services = {{service_id{"a"}, 90.0}, {service_id{"b"}, 10.0}};
+    random_source random(7);
+    int of_b = 0;
+    for (int at = 0; at < draws; ++at)
+    {
+        of_b += draw_service(from, random) == service_id{"b"} ? 1 : 0;
+    }
+    // Ten standard deviations of a binomial share of one in ten.
+    EXPECT_NEAR(of_b, draws / 10, 300);
+}
+
+} // namespace
+} // namespace wagtailseam::serving
--- a/src/telemetry/output.cpp
+++ b/src/telemetry/output.cpp
@@ -26,6 +26,7 @@
         held_ = "level=warning event=log_lines_dropped count=" +
                 std::to_string(untold_) + "\n";
         untold_ = 0;
+        flush();
     }
     if (held_.size() + line.size() > bound_)
     {
--- a/src/telemetry/output.hpp
+++ b/src/telemetry/output.hpp
@@ -31,7 +31,8 @@
 
     int descriptor_;
     std::size_t bound_;
-    /// Bytes not yet taken by the reader; size <= bound_.
+    /// Bytes not yet taken by the reader; size <= bound_, but for one line that
+    /// tells of dropped ones.
     std::string held_;
     std::uint64_t dropped_ = 0;
     /// Dropped since the last line that told it.
