Give fetches at a crowded engine the queue's time too

Cause: the limit of a fetch counted from its dispatch, but an engine fetches when it turns to the request. Ruled out: the store's memory (105 parts without room).

--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -326,7 +326,7 @@
             fetchable && heard && notes.weights
                 ? known_.caches.plan(
                       prompt, salt, target.entry.data_centre,
-                      route_->latency_target, now)
+                      route_->latency_target, target.expected_wait, now)
                 : serving::cache_plan{.salt = salt};
     }
     return platform::encode_dispatch(call_, notes);
--- a/src/serving/cache_view.cpp
+++ b/src/serving/cache_view.cpp
@@ -209,7 +209,7 @@
 
 cache_plan cache_view::plan(
     const prompt& wanted, const cache_salt& salt, const data_centre_id& near,
-    duration latency_target, mono_time now)
+    duration latency_target, duration expected_wait, mono_time now)
 {
     cache_plan made{.salt = salt};
     made.parts.resize(wanted.parts.size());
@@ -247,7 +247,9 @@
             static_cast<double>(latency_target.count()) *
             options_.fetch_part_of_target);
         made.fetch_until_ms =
-            to_ms(now + duration(limit)) + *clock_offset_ms_;
+            to_ms(now + std::min(expected_wait, latency_target) +
+                  duration(limit)) +
+            *clock_offset_ms_;
     }
     return made;
 }
--- a/src/serving/cache_view.hpp
+++ b/src/serving/cache_view.hpp
@@ -98,12 +98,14 @@
     /// Returns where the next poll of a store continues.
     [[nodiscard]] std::uint64_t next_change(const service_id& store) const;
 
-    /// Plans the fetches and saves of a prompt. Parts after one that no store
+    /// Plans the fetches and saves of a prompt whose engine turns to it after
+    /// the wait; a fetch does not begin before. Parts after one that no store
     /// holds are not fetched: an upstream cannot use them. The last part, that
     /// of the request itself, is neither fetched nor kept.
     [[nodiscard]] cache_plan plan(
         const prompt& wanted, const cache_salt& salt,
-        const data_centre_id& near, duration latency_target, mono_time now);
+        const data_centre_id& near, duration latency_target,
+        duration expected_wait, mono_time now);
 
     [[nodiscard]] std::size_t parts_known() const noexcept;
 
--- a/src/serving/test/cache_view_test.cpp
+++ b/src/serving/test/cache_view_test.cpp
@@ -53,11 +53,13 @@
 
     [[nodiscard]] cache_plan plan()
     {
-        return view_.plan(asked_, salt, here, milliseconds(500), now_);
+        return view_.plan(
+            asked_, salt, here, milliseconds(500), wait_, now_);
     }
 
     cache_view view_;
     mono_time now_{seconds(1000)};
+    duration wait_{};
     std::uint64_t next_ = 0;
     prompt asked_{
         .model = model_id{"m"},
@@ -156,6 +158,17 @@
     EXPECT_EQ(plan().fetch_until_ms, 5'000'000 + 100 + 275);
 }
 
+TEST_F(cache_view_fixture, fetch_at_a_crowded_engine_has_its_queue_time_too)
+{
+    // Otherwise every fetch there comes too late, the prompt is read, and the
+    // queue grows.
+    hear(1, {kept("a", 100)});
+    wait_ = milliseconds(300);
+    EXPECT_EQ(plan().fetch_until_ms, 5'000'000 + 300 + 275);
+    wait_ = seconds(60);
+    EXPECT_EQ(plan().fetch_until_ms, 5'000'000 + 500 + 275);
+}
+
 TEST_F(cache_view_fixture, part_sent_to_be_kept_is_not_sent_again_soon)
 {
     hear(1);
@@ -222,7 +235,9 @@
             break;
         }
         const auto made =
-            view.plan(asked, salt, data_centre_id{}, milliseconds(500), now);
+            view.plan(
+                asked, salt, data_centre_id{}, milliseconds(500), duration{},
+                now);
         if (made.parts[0].fetch_from)
         {
             RC_ASSERT(held[part_id{"a"}]);
--- a/src/serving/upstream_book.cpp
+++ b/src/serving/upstream_book.cpp
@@ -249,6 +249,7 @@
         .entry = of.entry,
         .weights = wanted.model ? version_at(of.entry, *wanted.model)
                                 : std::nullopt,
+        .expected_wait = expected_wait(of, now),
         .cost = best->cost,
         .in_flight = of.in_flight,
         .failure_share = failures(of, now)};
--- a/src/serving/upstream_book.hpp
+++ b/src/serving/upstream_book.hpp
@@ -138,6 +138,8 @@
     upstream entry;
     /// Of the query's model, as far as known.
     std::optional<weight_version> weights;
+    /// Until its engine turns to the request.
+    duration expected_wait{};
     /// What decided, for the log.
     duration cost{};
     std::uint32_t in_flight = 0;
