--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -45,7 +45,7 @@
 constexpr std::chrono::milliseconds weights_margin{1500};
 /// Part of the latency target that each prompt waiting before a request may
 /// take of it.
-constexpr std::chrono::milliseconds prompt_allowance{100};
+constexpr std::chrono::milliseconds prompt_allowance{150};
 /// A caller that was refused before goes before new ones by as many prompts.
 constexpr std::uint32_t returned_allowance = 3;
 constexpr unsigned max_urgency = 9;
