Keep shared parts in fast stores, and parts near their engine

Ruled out: engines' queues (the agents' words showed 30 runs and 9 prompts at each engine, an effect of the reading), room in the stores.

--- a/programs/wagtail_gateway.cpp
+++ b/programs/wagtail_gateway.cpp
@@ -14,9 +14,8 @@
     return platform::run_program(
         argc, argv,
         {.name = "wagtail-gateway",
-         .start =
-             [](boost::asio::io_context& context,
-                const platform::process_settings& settings)
+         .start = [](boost::asio::io_context& context,
+                     const platform::process_settings& settings)
          {
              // Not destroyed: the process ends with the io_context.
              auto* const app = new gateway::app(
--- a/programs/wagtailctl_acceptance.cpp
+++ b/programs/wagtailctl_acceptance.cpp
@@ -341,7 +341,8 @@
         std::string(configuration::configuration_table),
         std::string(configuration::history_prefix),
         configuration::history_row(config_number{after}).key, limit));
-    const auto* const rows = std::get_if<std::vector<table_service::row>>(&answer);
+    const auto* const rows =
+        std::get_if<std::vector<table_service::row>>(&answer);
     if (rows == nullptr)
     {
         print_error(result_code::platform_unavailable, "");
--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -3,9 +3,9 @@
 
 #include "core/overloaded.hpp"
 #include "engine_status/listener.hpp"
+#include "http/endpoint.hpp"
 #include "platform/documents.hpp"
 #include "platform/engine_calls.hpp"
-#include "http/endpoint.hpp"
 #include "platform/request_codec.hpp"
 #include "runtime/program.hpp"
 #include "telemetry/event_log.hpp"
@@ -37,6 +37,7 @@
 /// A word that says nothing new is sent again after this time; gateways trust
 /// it for a second.
 constexpr std::chrono::milliseconds repeat_interval{400};
+constexpr std::chrono::seconds load_log_interval{1};
 /// Between two reads of the list of upstreams, and after a failed one. It is
 /// needed for ranks and for this engine's id alone.
 constexpr std::chrono::seconds list_interval{10};
@@ -78,9 +79,9 @@
           context.get_executor(),
           {.connect_timeout = connect_timeout, .max_idle = 1}),
       words_(
-          context, asio::ip::udp::endpoint(
-                       asio::ip::make_address(settings_.ip),
-                       settings_.first_port)),
+          context,
+          asio::ip::udp::endpoint(
+              asio::ip::make_address(settings_.ip), settings_.first_port)),
       turns_({.bound = settings_.bounds.weights})
 {
     operator_table_.start();
@@ -234,7 +235,8 @@
         }
     }
     find_place();
-    next_list_read_ = now + (self_.value().empty() ? list_retry : list_interval);
+    next_list_read_ =
+        now + (self_.value().empty() ? list_retry : list_interval);
 }
 
 void app::find_place()
@@ -342,6 +344,16 @@
     ++next.number;
     word_ = std::move(next);
     word_sent_ = now;
+    if (now - load_logged_ >= load_log_interval)
+    {
+        load_logged_ = now;
+        telemetry::event("engine_load")
+            .with("upstream", self_)
+            .with("prompts_waiting", word_.prompts_waiting)
+            .with("running", word_.running)
+            .with("loading", word_.loading ? 1 : 0)
+            .with("listeners", listeners_.size());
+    }
     const auto datagram = engine_status::encode(word_);
     for (const auto& [vm, address] : listeners_)
     {
@@ -433,8 +445,8 @@
             parts.end() - static_cast<std::ptrdiff_t>(size), parts.end());
         parts.resize(parts.size() - size);
         auto call = platform::free_call(batch, content.value().epoch);
-        const auto freed = co_await http_.fetch(
-            store.address, std::move(call), store_timeout);
+        const auto freed =
+            co_await http_.fetch(store.address, std::move(call), store_timeout);
         if (!freed || freed.value().status != status_ok)
         {
             telemetry::event("cache_free_failed")
--- a/src/agent/app.hpp
+++ b/src/agent/app.hpp
@@ -71,6 +71,7 @@
     /// The last word, sent again when nothing changes.
     engine_status::status word_;
     mono_time word_sent_;
+    mono_time load_logged_;
     /// An order was given and its end was not seen.
     bool order_pending_ = false;
     /// Nothing before the store gave one; no order is given without it.
--- a/src/agent/cache_sweep.cpp
+++ b/src/agent/cache_sweep.cpp
@@ -29,8 +29,7 @@
 
 } // namespace
 
-cache_sweep::cache_sweep(const cache_sweep_options& options)
-    : options_(options)
+cache_sweep::cache_sweep(const cache_sweep_options& options) : options_(options)
 {
 }
 
--- a/src/agent/test/cache_sweep_test.cpp
+++ b/src/agent/test/cache_sweep_test.cpp
@@ -73,9 +73,8 @@
 {
     cache_sweep sweep;
     sweep.name({model, weight_version{2}}, now_);
-    EXPECT_TRUE(
-        sweep.due(stores_, engines_, upstream_id{}, now_ + seconds(60))
-            .empty());
+    EXPECT_TRUE(sweep.due(stores_, engines_, upstream_id{}, now_ + seconds(60))
+                    .empty());
 }
 
 TEST(parts_before, only_older_weights_of_the_model_are_named)
--- a/src/agent/test/weight_turns_test.cpp
+++ b/src/agent/test/weight_turns_test.cpp
@@ -1,6 +1,5 @@
 // Engines load in turns, all within the bound, whatever is heard.
 #include "agent/weight_turns.hpp"
-
 #include "core/random_source.hpp"
 
 #include <gtest/gtest.h>
--- a/src/agent/weight_turns.cpp
+++ b/src/agent/weight_turns.cpp
@@ -67,11 +67,10 @@
 {
     const auto planned =
         static_cast<double>(options_.bound.count()) * options_.planned_part;
-    const double before = static_cast<double>(rank_) /
-                          static_cast<double>(
-                              std::max<std::size_t>(1, engines_.size()));
-    return named +
-           duration(static_cast<duration::rep>(planned * before));
+    const double before =
+        static_cast<double>(rank_) /
+        static_cast<double>(std::max<std::size_t>(1, engines_.size()));
+    return named + duration(static_cast<duration::rep>(planned * before));
 }
 
 bool weight_turns::has_turn(
@@ -86,9 +85,9 @@
     for (std::size_t rank = 0; rank < rank_; ++rank)
     {
         const auto word = heard_.find(engines_[rank]);
-        const bool done =
-            word != heard_.end() && word->second.contains(model) &&
-            word->second.at(model) >= target.version;
+        const bool done = word != heard_.end() &&
+                          word->second.contains(model) &&
+                          word->second.at(model) >= target.version;
         before += done ? 0 : 1;
     }
     return before < engines_at_once();
--- a/src/configuration/acceptance_core.cpp
+++ b/src/configuration/acceptance_core.cpp
@@ -40,7 +40,8 @@
 
 acceptance_command acceptance_core::on(const acceptance_event::row_read& event)
 {
-    const auto* const found = std::get_if<table_service::found_row>(&event.answer);
+    const auto* const found =
+        std::get_if<table_service::found_row>(&event.answer);
     if (found == nullptr)
     {
         return retry();
@@ -79,7 +80,8 @@
     return command_of_step();
 }
 
-acceptance_command acceptance_core::head_read(const table_service::found_row& head)
+acceptance_command acceptance_core::head_read(
+    const table_service::found_row& head)
 {
     head_version_ = head ? head->version : table_service::absent_row;
     if (head)
--- a/src/configuration/test/acceptance_test.cpp
+++ b/src/configuration/test/acceptance_test.cpp
@@ -186,7 +186,8 @@
         return std::nullopt;
     }
 
-    table_service::transaction_answer apply(const table_service::transaction& wanted)
+    table_service::transaction_answer apply(
+        const table_service::transaction& wanted)
     {
         auto answer = table_.apply(wanted);
         if (std::holds_alternative<table_service::committed>(answer))
--- a/src/engine_status/status.cpp
+++ b/src/engine_status/status.cpp
@@ -14,9 +14,8 @@
         weights[model.value()] = version.value();
     }
     const nlohmann::json document{
-        {"u", said.upstream.value()}, {"n", said.number},
-        {"l", said.life},             {"p", said.prompts_waiting},
-        {"r", said.running},          {"b", said.loading},
+        {"u", said.upstream.value()}, {"n", said.number},  {"l", said.life},
+        {"p", said.prompts_waiting},  {"r", said.running}, {"b", said.loading},
         {"w", std::move(weights)}};
     std::string datagram;
     nlohmann::json::to_msgpack(document, datagram);
@@ -25,8 +24,7 @@
 
 result<status> decode(std::string_view datagram)
 {
-    const auto document =
-        nlohmann::json::from_msgpack(datagram, true, false);
+    const auto document = nlohmann::json::from_msgpack(datagram, true, false);
     if (!document.is_object())
     {
         return fail(result_code::malformed_message, "not a map");
--- a/src/engine_status/test/status_test.cpp
+++ b/src/engine_status/test/status_test.cpp
@@ -30,7 +30,8 @@
     EXPECT_EQ(read.value().weights, said.weights);
 }
 
-RC_GTEST_PROP(engine_status, any_bytes_decode_or_fail, (const std::string& bytes))
+RC_GTEST_PROP(
+    engine_status, any_bytes_decode_or_fail, (const std::string& bytes))
 {
     (void)decode(bytes);
 }
--- a/src/entry/filing_desk.hpp
+++ b/src/entry/filing_desk.hpp
@@ -21,7 +21,8 @@
 class filing_desk
 {
 public:
-    using write_callback = std::function<void(table_service::transaction_answer)>;
+    using write_callback =
+        std::function<void(table_service::transaction_answer)>;
 
     explicit filing_desk(peers& shared);
 
@@ -33,7 +34,8 @@
         caller_http::service_call call);
 
     /// Sends a write together with others; calls back with its own answer.
-    void write(table_service::row_write write, bool urgent, write_callback callback);
+    void write(
+        table_service::row_write write, bool urgent, write_callback callback);
 
     /// Filings that have not ended; some of them only record an outcome.
     [[nodiscard]] std::size_t active() const noexcept { return active_; }
--- a/src/entry/peers.hpp
+++ b/src/entry/peers.hpp
@@ -9,9 +9,9 @@
 #include "http/client.hpp"
 #include "identity/process_keys.hpp"
 #include "peer/peer.hpp"
-#include "table_service/client.hpp"
 #include "retry/retry_budget.hpp"
 #include "spread/runner.hpp"
+#include "table_service/client.hpp"
 #include "telemetry/counters.hpp"
 
 #include <boost/asio/io_context.hpp>
--- a/src/filing/filing_core.cpp
+++ b/src/filing/filing_core.cpp
@@ -193,7 +193,8 @@
         answer);
 }
 
-void filing_core::claim_read(const table_service::read_answer& answer, moment now)
+void filing_core::claim_read(
+    const table_service::read_answer& answer, moment now)
 {
     const auto* const found = std::get_if<table_service::found_row>(&answer);
     if (found == nullptr)
--- a/src/filing/filing_core.hpp
+++ b/src/filing/filing_core.hpp
@@ -243,7 +243,8 @@
 
     // Claiming.
     void plan();
-    void claim_written(const table_service::transaction_answer& answer, moment now);
+    void claim_written(
+        const table_service::transaction_answer& answer, moment now);
     void claim_read(const table_service::read_answer& answer, moment now);
     void claim_refused(moment now);
     void looked(const table_service::read_answer& answer, moment now);
@@ -253,7 +254,8 @@
     // Another call's row.
     void examine(const table_service::row& found, moment now);
     void wait_for(
-        const table_service::row& found, const filing_record& record, moment now);
+        const table_service::row& found, const filing_record& record,
+        moment now);
     void poll(moment now);
     void waiting_read(const table_service::read_answer& answer, moment now);
     void end_waiting();
@@ -262,11 +264,13 @@
     // Recording.
     void run_refused(result_code code, moment now);
     void record(filing_state state, result_code reason, moment now);
-    void record_written(const table_service::transaction_answer& answer, moment now);
+    void record_written(
+        const table_service::transaction_answer& answer, moment now);
     void record_conflicted(
         const std::optional<table_service::row>& current, moment now);
     void retry_record(moment now);
-    void look_for_abandoned(const table_service::read_answer& answer, moment now);
+    void look_for_abandoned(
+        const table_service::read_answer& answer, moment now);
 
     [[nodiscard]] bool is_pending(const table_service::row& found) const;
     void write_pending(bool urgent);
--- a/src/filing/filing_repeat.cpp
+++ b/src/filing/filing_repeat.cpp
@@ -114,7 +114,8 @@
     arm(std::min(now.mono + options_.max_poll, *wait_until_));
 }
 
-void filing_core::waiting_read(const table_service::read_answer& answer, moment now)
+void filing_core::waiting_read(
+    const table_service::read_answer& answer, moment now)
 {
     const auto* const found = std::get_if<table_service::found_row>(&answer);
     if (found != nullptr && *found)
--- a/src/filing/test/claim_batcher_test.cpp
+++ b/src/filing/test/claim_batcher_test.cpp
@@ -121,7 +121,8 @@
     want(2, 1);
     sut.pass(milliseconds(3));
     EXPECT_EQ(sut.transactions, 2U);
-    EXPECT_TRUE(std::holds_alternative<table_service::committed>(sut.answers.at(1)));
+    EXPECT_TRUE(
+        std::holds_alternative<table_service::committed>(sut.answers.at(1)));
     EXPECT_TRUE(
         std::holds_alternative<table_service::conflicted>(sut.answers.at(2)));
 }
@@ -133,7 +134,8 @@
         want(static_cast<std::uint64_t>(key), key);
     }
     ASSERT_EQ(sut.answers.size(), 1U);
-    EXPECT_TRUE(std::holds_alternative<table_service::refused>(sut.answers.at(5)));
+    EXPECT_TRUE(
+        std::holds_alternative<table_service::refused>(sut.answers.at(5)));
 }
 
 TEST_F(claim_batcher_test, lost_answer_is_lost_for_every_write)
@@ -142,8 +144,8 @@
     want(2, 2);
     sut.now += milliseconds(3);
     sut.feed(batch_timer_due{});
-    sut.feed(
-        transaction_answered{sut.sent.front().number, table_service::answer_lost{}});
+    sut.feed(transaction_answered{
+        sut.sent.front().number, table_service::answer_lost{}});
     EXPECT_TRUE(
         std::holds_alternative<table_service::answer_lost>(sut.answers.at(1)));
     EXPECT_TRUE(
@@ -172,7 +174,8 @@
     std::map<int, std::string> winners;
     for (std::size_t ticket = 1; ticket <= keys.size(); ++ticket)
     {
-        if (std::holds_alternative<table_service::committed>(sut.answers.at(ticket)))
+        if (std::holds_alternative<table_service::committed>(
+                sut.answers.at(ticket)))
         {
             RC_ASSERT(winners.emplace(keys[ticket - 1], std::to_string(ticket))
                           .second);
--- a/src/filing/test/filing_core_test.cpp
+++ b/src/filing/test/filing_core_test.cpp
@@ -182,7 +182,8 @@
 
 TEST_F(filing_core_test, refused_write_is_answered_as_not_run_at_once)
 {
-    feed(row_written{commanded<write_row>()->operation, table_service::refused{}});
+    feed(row_written{
+        commanded<write_row>()->operation, table_service::refused{}});
     EXPECT_EQ(answer_code(), result_code::filing_store_unavailable);
     EXPECT_TRUE(commanded<filing_over>());
 }
--- a/src/filing/test/history_world.cpp
+++ b/src/filing/test/history_world.cpp
@@ -490,8 +490,9 @@
 {
     const bool failed = table_fault_ == table_fault::reads_fail ||
                         (table_fault_ != table_fault::none && chance(40));
-    const auto reply = [this, e, id, operation = asked.operation](
-                           duration delay, const table_service::read_answer& said)
+    const auto reply =
+        [this, e, id, operation = asked.operation](
+            duration delay, const table_service::read_answer& said)
     {
         at_process(
             entries_.at(e), delay,
--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -135,8 +135,8 @@
 asio::awaitable<void> app::finish_drain()
 {
     const auto begun = monotonic_clock::now();
-    const auto last = begun + known_.settings.bounds.shutdown_grace -
-                      shutdown_margin;
+    const auto last =
+        begun + known_.settings.bounds.shutdown_grace - shutdown_margin;
     asio::steady_timer timer(context_, leave_notice);
     co_await timer.async_wait(completion);
     callers_.stop_accepting();
--- a/src/gateway/feeds.cpp
+++ b/src/gateway/feeds.cpp
@@ -57,10 +57,9 @@
            .take = [this](const auto& rows, bool whole)
            { take_upstream_rows(rows, whole); }}),
       agents_(
-          context,
-          asio::ip::udp::endpoint(
-              asio::ip::make_address(known.settings.ip),
-              known.settings.first_port)),
+          context, asio::ip::udp::endpoint(
+                       asio::ip::make_address(known.settings.ip),
+                       known.settings.first_port)),
       caches_(
           context.get_executor(),
           {.connect_timeout = cache_connect_timeout, .max_idle = 1})
@@ -91,10 +90,9 @@
         {
             co_return;
         }
-        const auto said = failed
-                              ? result<engine_status::status>(fail(
-                                    result_code::malformed_message))
-                              : engine_status::decode({bytes.data(), size});
+        const auto said = failed ? result<engine_status::status>(
+                                       fail(result_code::malformed_message))
+                                 : engine_status::decode({bytes.data(), size});
         if (!said)
         {
             known_.metrics.count("wagtail_agent_datagrams_dropped_total");
@@ -182,11 +180,10 @@
         return;
     }
     known_.weight_targets.insert_or_assign(
-        read.model,
-        known_target{
-            .version = read.version,
-            .learned = monotonic_clock::now(),
-            .at_start = first_operator_read_});
+        read.model, known_target{
+                        .version = read.version,
+                        .learned = monotonic_clock::now(),
+                        .at_start = first_operator_read_});
     telemetry::event("weights_named")
         .with("model", read.model)
         .with("version", read.version);
@@ -195,14 +192,12 @@
 duration feeds::missing_grace() const
 {
     const bool unstable =
-        monotonic_clock::now() - upstream_table_.last_failure() <
-        unstable_time;
+        monotonic_clock::now() - upstream_table_.last_failure() < unstable_time;
     const duration usual = known_.settings.bounds.drain - drain_margin;
     return unstable ? std::max<duration>(usual, relisting_time) : usual;
 }
 
-void feeds::take_upstream_rows(
-    const platform::row_set& rows, bool whole_table)
+void feeds::take_upstream_rows(const platform::row_set& rows, bool whole_table)
 {
     const mono_time now = monotonic_clock::now();
     std::vector<serving::upstream> listed;
@@ -227,8 +222,7 @@
             telemetry::event("upstream_unlisted")
                 .with("upstream", row.key)
                 .with("grace_us", missing_grace().count());
-            known_.upstreams.remove(
-                upstream_id{row.key}, missing_grace(), now);
+            known_.upstreams.remove(upstream_id{row.key}, missing_grace(), now);
         }
         else
         {
@@ -267,8 +261,8 @@
 {
     const auto after = known_.caches.next_change(store.service);
     auto asked = platform::cache_changes_call(after, cache_wait);
-    const auto answer = co_await caches_.fetch(
-        store.address, std::move(asked), cache_timeout);
+    const auto answer =
+        co_await caches_.fetch(store.address, std::move(asked), cache_timeout);
     if (!answer || answer.value().status != status_ok)
     {
         known_.caches.lost(store.service);
@@ -285,8 +279,8 @@
             .warning();
         co_return false;
     }
-    const bool gap = known_.caches.take(
-        store.service, read.value(), monotonic_clock::now());
+    const bool gap =
+        known_.caches.take(store.service, read.value(), monotonic_clock::now());
     if (!gap)
     {
         co_return true;
@@ -297,8 +291,8 @@
 asio::awaitable<bool> feeds::list_cache(const serving::cache_store& store)
 {
     auto asked = platform::cache_content_call();
-    const auto answer = co_await caches_.fetch(
-        store.address, std::move(asked), cache_timeout);
+    const auto answer =
+        co_await caches_.fetch(store.address, std::move(asked), cache_timeout);
     const auto read =
         answer ? platform::decode_cache_content(answer.value().body)
                : result<serving::cache_content>(fail(answer.error().code));
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -186,12 +186,10 @@
         return wanted;
     }
     wanted.max_prompts_waiting = max_prompts_waiting();
-    const auto target =
-        known_.weight_targets.find(call_.asked_prompt->model);
+    const auto target = known_.weight_targets.find(call_.asked_prompt->model);
     if (target != known_.weight_targets.end())
     {
-        const duration age =
-            monotonic_clock::now() - target->second.learned;
+        const duration age = monotonic_clock::now() - target->second.learned;
         wanted.model = target->first;
         wanted.wanted = target->second.version;
         wanted.only_wanted =
@@ -207,8 +205,8 @@
 
 std::uint32_t request_run::max_prompts_waiting() const
 {
-    const auto by_target = static_cast<std::uint32_t>(
-        route_->latency_target / prompt_allowance);
+    const auto by_target =
+        static_cast<std::uint32_t>(route_->latency_target / prompt_allowance);
     // More urgent prompts pass those that wait.
     const std::uint32_t by_rank =
         route_->priority == 0 ? by_target * 2 : by_target;
@@ -371,9 +369,8 @@
     last_end_ = serving::name(how);
     known_.upstreams.end(target.entry.id, how, monotonic_clock::now());
     known_.metrics.count("wagtail_attempts_total", "end", last_end_);
-    const bool worth_a_line =
-        !std::holds_alternative<serving::answered>(how) &&
-        !std::holds_alternative<serving::abandoned>(how);
+    const bool worth_a_line = !std::holds_alternative<serving::answered>(how) &&
+                              !std::holds_alternative<serving::abandoned>(how);
     if (worth_a_line)
     {
         telemetry::event("attempt_ended")
@@ -609,8 +606,7 @@
     known_.metrics.count(
         "wagtail_requests_total", "status", std::to_string(status_));
     known_.metrics.observe(
-        "wagtail_request_seconds",
-        std::chrono::duration<double>(took).count());
+        "wagtail_request_seconds", std::chrono::duration<double>(took).count());
     if (first_byte_)
     {
         known_.metrics.observe(
@@ -621,7 +617,8 @@
     line.with("request", call_.id)
         .with("route", route_ != nullptr ? route_->name : "none")
         .with(
-            "workspace", workspace_ != nullptr ? workspace_->id.value() : "none")
+            "workspace",
+            workspace_ != nullptr ? workspace_->id.value() : "none")
         .with("status", status_)
         .with("result", code_)
         .with("sent", sent_)
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -63,7 +63,8 @@
     [[nodiscard]] duration silence_limit() const;
     [[nodiscard]] duration time_left() const;
     void end_attempt(
-        const serving::chosen_upstream& target, const serving::attempt_end& how);
+        const serving::chosen_upstream& target,
+        const serving::attempt_end& how);
     [[nodiscard]] next_step after_open_failure(
         const serving::chosen_upstream& target, const error& why);
     void log_end();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -37,8 +37,8 @@
 /// Part of a server's announced idle time for which a connection is kept.
 constexpr double keep_alive_share = 0.7;
 
-using user_timeout = asio::detail::socket_option::integer<
-    IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using user_timeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 struct connection
 {
@@ -173,8 +173,7 @@
     {
         used->stream.expires_never();
         used->idle_since = monotonic_clock::now();
-        used->max_idle_time =
-            announced_idle_time(head, options.max_idle_time);
+        used->max_idle_time = announced_idle_time(head, options.max_idle_time);
         kept.push_back(std::move(used));
     }
 }
--- a/src/http/test/client_test.cpp
+++ b/src/http/test/client_test.cpp
@@ -34,8 +34,7 @@
     [[nodiscard]] address server_address() const
     {
         return address{
-            "127.0.0.1:" +
-            std::to_string(acceptor_.local_endpoint().port())};
+            "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())};
     }
 
     /// @param reads whether each request is read before its answer
@@ -107,7 +106,8 @@
     }
 
     /// Runs the coroutine and returns what it returns.
-    template <class T> T run(asio::awaitable<T> coroutine)
+    template <class T>
+    T run(asio::awaitable<T> coroutine)
     {
         std::optional<T> outcome;
         asio::co_spawn(
@@ -131,9 +131,7 @@
 
 TEST_F(client_fixture, late_answer_to_earlier_request_is_dropped)
 {
-    serve(
-        {answer("1", "first"),
-         answer("1", "again") + answer("2", "second")});
+    serve({answer("1", "first"), answer("1", "again") + answer("2", "second")});
     auto both = [this]() -> asio::awaitable<std::string>
     {
         auto first = asked("1");
@@ -228,8 +226,7 @@
     const auto control = how.control;
     asio::steady_timer timer(context_, std::chrono::milliseconds(50));
     timer.async_wait([control](auto) { control->cancel(); });
-    EXPECT_EQ(
-        run(body_of(asked("1"), std::move(how))), "error stream_broken");
+    EXPECT_EQ(run(body_of(asked("1"), std::move(how))), "error stream_broken");
 }
 
 TEST_F(client_fixture, closed_port_is_unreachable_and_nothing_was_sent)
@@ -246,8 +243,7 @@
         auto opened = co_await client_.open(
             address{"127.0.0.1:" + std::to_string(port)}, std::move(message),
             std::move(how));
-        co_return opened ? "opened"
-                         : std::string(name(opened.error().code));
+        co_return opened ? "opened" : std::string(name(opened.error().code));
     };
     EXPECT_EQ(run(attempt()), "upstream_unreachable");
     EXPECT_FALSE(written);
--- a/src/lease/lease_core.cpp
+++ b/src/lease/lease_core.cpp
@@ -50,7 +50,8 @@
     const open_call asked = call_;
     BOOST_ASSERT(asked == open_call::read || asked == open_call::read_back);
     call_ = open_call::none;
-    const auto* const found = std::get_if<table_service::found_row>(&event.answer);
+    const auto* const found =
+        std::get_if<table_service::found_row>(&event.answer);
     if (found == nullptr)
     {
         retry(asked);
--- a/src/lease/test/lease_test.cpp
+++ b/src/lease/test/lease_test.cpp
@@ -214,7 +214,8 @@
             feed(
                 i, lease_event::row_read{
                        works ? table_service::read_answer(table_.read(read->at))
-                             : table_service::read_answer(table_service::read_failed{})});
+                             : table_service::read_answer(
+                                   table_service::read_failed{})});
             return;
         }
         const auto& wanted = std::get<write_rows>(open).wanted;
@@ -234,12 +235,13 @@
             return table_service::answer_lost{};
         }
         auto answer = apply(wanted);
-        return choice % 8 == 2
-                   ? table_service::transaction_answer(table_service::answer_lost{})
-                   : answer;
+        return choice % 8 == 2 ? table_service::transaction_answer(
+                                     table_service::answer_lost{})
+                               : answer;
     }
 
-    table_service::transaction_answer apply(const table_service::transaction& wanted)
+    table_service::transaction_answer apply(
+        const table_service::transaction& wanted)
     {
         const auto before = table_.read(lease_row("weights"));
         auto answer = table_.apply(wanted);
@@ -391,7 +393,8 @@
     lease_core_fixture()
     {
         (void)core_.handle(lease_event::tick{}, now_);
-        (void)core_.handle(lease_event::row_read{table_service::found_row{}}, now_);
+        (void)core_.handle(
+            lease_event::row_read{table_service::found_row{}}, now_);
         (void)core_.handle(
             lease_event::rows_written{
                 table_service::committed{{table_service::row_version{1}}}},
--- a/src/quarantine/quarantine_core.hpp
+++ b/src/quarantine/quarantine_core.hpp
@@ -4,8 +4,8 @@
 #define WAGTAILSEAM_QUARANTINE_QUARANTINE_CORE_HPP
 
 #include "core/random_source.hpp"
-#include "table_service/table.hpp"
 #include "quarantine/strike_board.hpp"
+#include "table_service/table.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/src/quarantine/test/poison_world.hpp
+++ b/src/quarantine/test/poison_world.hpp
@@ -4,8 +4,8 @@
 #define WAGTAILSEAM_QUARANTINE_TEST_POISON_WORLD_HPP
 
 #include "core/overloaded.hpp"
-#include "table_service/memory_table.hpp"
 #include "quarantine/quarantine_core.hpp"
+#include "table_service/memory_table.hpp"
 
 #include <algorithm>
 #include <deque>
--- a/src/serving/cache_view.cpp
+++ b/src/serving/cache_view.cpp
@@ -17,6 +17,7 @@
 constexpr char salt_separator = '.';
 /// Entries of recent saves beyond which old ones are dropped.
 constexpr std::size_t max_recent_saves = 4096;
+constexpr std::size_t max_counted_parts = 4096;
 
 std::int64_t to_ms(mono_time at)
 {
@@ -25,22 +26,21 @@
         .count();
 }
 
-/// Weighted rendezvous: a store's share of the parts is that of its capacity.
-double home_weight(const kept_part& part, const cache_store& store)
+/// Weighted rendezvous: a store's share of the parts is that of its weight.
+double home_weight(
+    const kept_part& part, const cache_store& store, double weight)
 {
     const auto hash = routing::rendezvous_weight(
         routing::stable_hash(part.salt.value() + '/' + part.part.value()),
         routing::stable_hash(store.service.value()));
     constexpr double two_to_64 = 18446744073709551616.0;
     const double uniform = (static_cast<double>(hash) + 0.5) / two_to_64;
-    return -static_cast<double>(store.capacity.value()) / std::log(uniform);
+    return -weight / std::log(uniform);
 }
 
 } // namespace
 
-cache_view::cache_view(const cache_view_options& options) : options_(options)
-{
-}
+cache_view::cache_view(const cache_view_options& options) : options_(options) {}
 
 void cache_view::use(const std::vector<cache_store>& stores)
 {
@@ -89,20 +89,14 @@
     if (!continues)
     {
         state->held.clear();
+        state->used = token_count{};
     }
     state->epoch = answer.epoch;
     state->next = answer.next;
     state->heard = now;
     for (const auto& change : answer.changes)
     {
-        if (change.tokens > token_count{})
-        {
-            state->held.insert_or_assign(change.part, change.tokens);
-        }
-        else
-        {
-            state->held.erase(change.part);
-        }
+        set_held(*state, change.part, change.tokens);
     }
     if (answer.clock_ms)
     {
@@ -125,9 +119,26 @@
     state->next = answer.next;
     state->heard = now;
     state->held.clear();
+    state->used = token_count{};
     for (const auto& part : answer.held)
     {
-        state->held.insert_or_assign(part.part, part.tokens);
+        set_held(*state, part.part, part.tokens);
+    }
+}
+
+void cache_view::set_held(
+    store_state& of, const kept_part& part, token_count tokens)
+{
+    const auto known = of.held.find(part);
+    if (known != of.held.end())
+    {
+        of.used -= known->second;
+        of.held.erase(known);
+    }
+    if (tokens > token_count{})
+    {
+        of.used += tokens;
+        of.held.emplace(part, tokens);
     }
 }
 
@@ -139,6 +150,7 @@
         state->epoch.reset();
         state->next = 0;
         state->held.clear();
+        state->used = token_count{};
     }
 }
 
@@ -158,7 +170,7 @@
     mono_time now) const
 {
     const store_state* best = nullptr;
-    bool best_near = false;
+    double best_rate = 0;
     for (const auto& state : stores_)
     {
         const auto held = state.held.find(part);
@@ -167,27 +179,53 @@
         {
             continue;
         }
-        const bool is_near = state.store.data_centre == near;
-        if (best == nullptr || (is_near && !best_near) ||
-            (is_near == best_near &&
-             state.store.link_rate > best->store.link_rate))
+        const double rate = effective_rate(state, near);
+        if (best == nullptr || rate > best_rate)
         {
             best = &state;
-            best_near = is_near;
+            best_rate = rate;
         }
     }
     return best;
 }
 
+double cache_view::effective_rate(
+    const store_state& of, const data_centre_id& near) const
+{
+    const double rate = of.store.link_rate.value();
+    return of.store.data_centre == near ? rate : rate / options_.far_factor;
+}
+
+bool cache_view::is_fastest(const store_state& of) const
+{
+    return std::none_of(
+        stores_.begin(), stores_.end(),
+        [&](const store_state& other)
+        { return other.store.link_rate > of.store.link_rate; });
+}
+
 const cache_view::store_state* cache_view::home(
-    const kept_part& part, mono_time now) const
+    const kept_part& part, token_count tokens, const data_centre_id& near,
+    bool fastest_only, mono_time now) const
 {
     const store_state* best = nullptr;
     double best_weight = 0;
     for (const auto& state : stores_)
     {
-        const double weight = home_weight(part, state.store);
-        if (trusted(state, now) && (best == nullptr || weight > best_weight))
+        const auto& store = state.store;
+        if (!trusted(state, now) || state.used + tokens > store.capacity ||
+            (fastest_only && !is_fastest(state)))
+        {
+            continue;
+        }
+        const double near_factor =
+            store.data_centre == near ? options_.near_home_factor : 1.0;
+        // Links are shared by all fetches: a fast store fills first.
+        const double weight = home_weight(
+            part, store,
+            static_cast<double>(store.capacity.value()) *
+                store.link_rate.value() * near_factor);
+        if (best == nullptr || weight > best_weight)
         {
             best = &state;
             best_weight = weight;
@@ -196,6 +234,47 @@
     return best;
 }
 
+bool cache_view::count_use(const part_id& part, mono_time now)
+{
+    if (uses_.size() >= max_counted_parts)
+    {
+        std::erase_if(
+            uses_, [&](const auto& entry)
+            { return now - entry.second.window_began > options_.hot_window; });
+    }
+    auto& uses = uses_[part];
+    if (now - uses.window_began > options_.hot_window)
+    {
+        uses.hot = uses.count >= options_.hot_uses;
+        uses.window_began = now;
+        uses.count = 0;
+    }
+    ++uses.count;
+    uses.hot = uses.hot || uses.count >= options_.hot_uses;
+    return uses.hot;
+}
+
+std::optional<http::address> cache_view::keeper_for(
+    const kept_part& part, token_count tokens, const data_centre_id& near,
+    const store_state* held_at, bool hot, mono_time now)
+{
+    const bool well_kept = held_at != nullptr && (!hot || is_fastest(*held_at));
+    const auto saved = saved_.find(part);
+    const bool under_way =
+        saved != saved_.end() && now - saved->second < options_.save_pause;
+    if (well_kept || under_way)
+    {
+        return std::nullopt;
+    }
+    const auto* const keeper = home(part, tokens, near, hot, now);
+    if (keeper == nullptr || keeper == held_at)
+    {
+        return std::nullopt;
+    }
+    remember_save(part, now);
+    return keeper->store.address;
+}
+
 void cache_view::remember_save(const kept_part& part, mono_time now)
 {
     if (saved_.size() >= max_recent_saves)
@@ -217,28 +296,17 @@
     bool fetches = false;
     for (std::size_t at = 0; at + 1 < wanted.parts.size(); ++at)
     {
-        const kept_part part{salt, wanted.parts[at].id};
-        const auto* const kept_at =
-            holder(part, wanted.parts[at].tokens, near, now);
-        if (kept_at != nullptr)
-        {
-            if (contiguous && clock_offset_ms_)
-            {
-                made.parts[at].fetch_from = kept_at->store.address;
-                fetches = true;
-            }
-            continue;
-        }
-        contiguous = false;
-        const auto saved = saved_.find(part);
-        if (saved != saved_.end() && now - saved->second < options_.save_pause)
-        {
-            continue;
-        }
-        if (const auto* const keeper = home(part, now))
+        const auto& asked = wanted.parts[at];
+        const kept_part part{salt, asked.id};
+        const auto* const held_at = holder(part, asked.tokens, near, now);
+        const bool hot = count_use(asked.id, now);
+        made.parts[at].save_to =
+            keeper_for(part, asked.tokens, near, held_at, hot, now);
+        contiguous = contiguous && held_at != nullptr;
+        if (contiguous && clock_offset_ms_)
         {
-            made.parts[at].save_to = keeper->store.address;
-            remember_save(part, now);
+            made.parts[at].fetch_from = held_at->store.address;
+            fetches = true;
         }
     }
     if (fetches)
@@ -247,8 +315,9 @@
             static_cast<double>(latency_target.count()) *
             options_.fetch_part_of_target);
         made.fetch_until_ms =
-            to_ms(now + std::min(expected_wait, latency_target) +
-                  duration(limit)) +
+            to_ms(
+                now + std::min(expected_wait, latency_target) +
+                duration(limit)) +
             *clock_offset_ms_;
     }
     return made;
@@ -320,8 +389,7 @@
     }
     std::uint64_t version = 0;
     const auto* const end = fields[0].data() + fields[0].size();
-    const auto [stop, failed] =
-        std::from_chars(fields[0].data(), end, version);
+    const auto [stop, failed] = std::from_chars(fields[0].data(), end, version);
     if (failed != std::errc{} || stop != end)
     {
         return std::nullopt;
--- a/src/serving/cache_view.hpp
+++ b/src/serving/cache_view.hpp
@@ -70,6 +70,15 @@
     /// thrown away: it holds the engine's memory all the while, and the prompt
     /// can still be read in time.
     double fetch_part_of_target = 0.55;
+    /// A transfer between data centres takes as many times as long.
+    double far_factor = 2.0;
+    /// How many times as much a store in the engine's data centre counts as
+    /// the home of a part.
+    double near_home_factor = 4.0;
+    /// Uses of a part by this process, in a window, from which on it is kept
+    /// in the fastest stores: the slow ones' links would be full of it.
+    std::uint32_t hot_uses = 6;
+    duration hot_window = std::chrono::seconds(8);
     /// A part that this process sent to be kept is not sent again for this
     /// time, in which the store reports it or it was lost.
     duration save_pause = std::chrono::seconds(2);
@@ -118,6 +127,14 @@
         std::uint64_t next = 0;
         mono_time heard;
         std::map<kept_part, token_count> held;
+        /// Sum over held.
+        token_count used;
+    };
+    struct part_uses
+    {
+        mono_time window_began;
+        std::uint32_t count = 0;
+        bool hot = false;
     };
 
     [[nodiscard]] bool trusted(const store_state& of, mono_time now) const;
@@ -125,13 +142,25 @@
         const kept_part& part, token_count tokens, const data_centre_id& near,
         mono_time now) const;
     [[nodiscard]] const store_state* home(
-        const kept_part& part, mono_time now) const;
+        const kept_part& part, token_count tokens, const data_centre_id& near,
+        bool fastest_only, mono_time now) const;
+    [[nodiscard]] double effective_rate(
+        const store_state& of, const data_centre_id& near) const;
+    [[nodiscard]] bool is_fastest(const store_state& of) const;
+    [[nodiscard]] bool count_use(const part_id& part, mono_time now);
+    [[nodiscard]] std::optional<http::address> keeper_for(
+        const kept_part& part, token_count tokens, const data_centre_id& near,
+        const store_state* held_at, bool hot, mono_time now);
     void remember_save(const kept_part& part, mono_time now);
+    static void set_held(
+        store_state& of, const kept_part& part, token_count tokens);
 
     cache_view_options options_;
     std::vector<store_state> stores_;
     /// The upstreams' clock less this process's, in ms.
     std::optional<std::int64_t> clock_offset_ms_;
+    /// Uses of the parts seen lately; old entries are dropped.
+    std::map<part_id, part_uses> uses_;
     /// When this process last had a part saved; old entries are dropped.
     std::map<kept_part, mono_time> saved_;
 };
--- a/src/serving/route_table.cpp
+++ b/src/serving/route_table.cpp
@@ -55,7 +55,8 @@
 const workspace* route_table::owner(const std::string& key) const
 {
     const auto found = by_key_.find(key);
-    return found == by_key_.end() ? nullptr : &source_.workspaces[found->second];
+    return found == by_key_.end() ? nullptr
+                                  : &source_.workspaces[found->second];
 }
 
 const service_id& draw_service(const route& from, random_source& random)
--- a/src/serving/test/cache_view_test.cpp
+++ b/src/serving/test/cache_view_test.cpp
@@ -53,8 +53,7 @@
 
     [[nodiscard]] cache_plan plan()
     {
-        return view_.plan(
-            asked_, salt, here, milliseconds(500), wait_, now_);
+        return view_.plan(asked_, salt, here, milliseconds(500), wait_, now_);
     }
 
     cache_view view_;
@@ -191,6 +190,94 @@
     EXPECT_FALSE(plan().parts[0].fetch_from);
 }
 
+/// Two kinds of store, as on the users' sites: small ones with fast links, and
+/// a large one with a slow link that all sessions share.
+class cache_tiers_fixture : public cache_view_fixture
+{
+protected:
+    cache_tiers_fixture()
+    {
+        view_.use({fast_, slow_});
+        hear_both();
+    }
+
+    void hear_both(std::vector<cache_change> in_slow = {})
+    {
+        view_.take(
+            fast_.service,
+            cache_changes{
+                .epoch = store_epoch{1}, .next = 1, .clock_ms = 5'000'000},
+            now_);
+        view_.take(
+            slow_.service,
+            cache_changes{
+                .epoch = store_epoch{1},
+                .next = 1,
+                .clock_ms = 5'000'000,
+                .changes = std::move(in_slow)},
+            now_);
+    }
+
+    cache_store fast_{
+        .service = service_id{"fast"},
+        .address = http::address{"10.0.0.1:1"},
+        .data_centre = data_centre_id{"there"},
+        .capacity = token_count{150},
+        .link_rate = byte_rate{100.0}};
+    cache_store slow_{
+        .service = service_id{"slow"},
+        .address = http::address{"10.0.0.2:2"},
+        .data_centre = here,
+        .capacity = token_count{100'000},
+        .link_rate = byte_rate{30.0}};
+};
+
+TEST_F(cache_tiers_fixture, part_used_by_all_moves_to_the_fast_store)
+{
+    hear_both({kept("a", 100)});
+    std::optional<http::address> moved_to;
+    for (int use = 0; use < 10 && !moved_to; ++use)
+    {
+        moved_to = plan().parts[0].save_to;
+    }
+    EXPECT_EQ(moved_to, fast_.address);
+}
+
+TEST_F(cache_tiers_fixture, part_used_now_and_then_stays_where_it_is)
+{
+    for (int use = 0; use < 20; ++use)
+    {
+        hear_both({kept("a", 100)});
+        EXPECT_FALSE(plan().parts[0].save_to);
+        now_ += seconds(5);
+    }
+}
+
+TEST_F(cache_tiers_fixture, full_store_is_not_asked_to_keep_more)
+{
+    view_.take(
+        fast_.service,
+        cache_changes{
+            .epoch = store_epoch{1}, .next = 2, .changes = {kept("x", 100)}},
+        now_);
+    for (int at = 0; at < 50; ++at)
+    {
+        asked_.parts[0].id = part_id{"p" + std::to_string(at)};
+        EXPECT_NE(plan().parts[0].save_to, fast_.address);
+    }
+}
+
+TEST_F(cache_tiers_fixture, part_in_both_is_fetched_over_the_faster_way)
+{
+    hear_both({kept("a", 100)});
+    view_.take(
+        fast_.service,
+        cache_changes{
+            .epoch = store_epoch{1}, .next = 2, .changes = {kept("a", 100)}},
+        now_);
+    EXPECT_EQ(plan().parts[0].fetch_from, fast_.address);
+}
+
 RC_GTEST_PROP(
     cache_view, only_parts_held_in_the_present_epoch_are_fetched,
     (const std::vector<std::uint8_t>& steps))
@@ -234,10 +321,8 @@
         default:
             break;
         }
-        const auto made =
-            view.plan(
-                asked, salt, data_centre_id{}, milliseconds(500), duration{},
-                now);
+        const auto made = view.plan(
+            asked, salt, data_centre_id{}, milliseconds(500), duration{}, now);
         if (made.parts[0].fetch_from)
         {
             RC_ASSERT(held[part_id{"a"}]);
@@ -255,8 +340,9 @@
     EXPECT_EQ(model_of(shared), model);
     EXPECT_NE(shared, salt_of(model, weight_version{4}, open));
     EXPECT_NE(shared, salt_of(model, weight_version{3}, walled));
-    EXPECT_EQ(version_of(salt_of(model, weight_version{3}, walled)),
-              weight_version{3});
+    EXPECT_EQ(
+        version_of(salt_of(model, weight_version{3}, walled)),
+        weight_version{3});
     EXPECT_FALSE(version_of(cache_salt{"foreign"}));
     EXPECT_FALSE(version_of(cache_salt{"wx.m"}));
 }
--- a/src/serving/test/route_table_test.cpp
+++ b/src/serving/test/route_table_test.cpp
@@ -23,15 +23,17 @@
 {
 protected:
     route_table_fixture()
-        : table_([] {
-              configuration source;
-              source.routes = {
-                  make_route("short", "/a/"), make_route("long", "/a/b/")};
-              source.workspaces = {
-                  {.id = workspace_id{"w1"}, .keys = {"k1", "k2"}},
-                  {.id = workspace_id{"w2"}, .keys = {"k3"}}};
-              return source;
-          }())
+        : table_(
+              []
+              {
+                  configuration source;
+                  source.routes = {
+                      make_route("short", "/a/"), make_route("long", "/a/b/")};
+                  source.workspaces = {
+                      {.id = workspace_id{"w1"}, .keys = {"k1", "k2"}},
+                      {.id = workspace_id{"w2"}, .keys = {"k3"}}};
+                  return source;
+              }())
     {
     }
 
--- a/src/serving/test/upstream_book_test.cpp
+++ b/src/serving/test/upstream_book_test.cpp
@@ -77,8 +77,8 @@
 TEST_F(upstream_book_fixture, draining_upstream_gets_nothing_at_once)
 {
     list("a");
-    auto leaving = upstream{
-        .id = upstream_id{"a"}, .service = engines, .draining = true};
+    auto leaving =
+        upstream{.id = upstream_id{"a"}, .service = engines, .draining = true};
     book_.put(leaving);
     EXPECT_EQ(chosen(query()), "none");
     EXPECT_TRUE(book_.leaves(upstream_id{"a"}, now_));
@@ -150,8 +150,8 @@
     list("b");
     for (int at = 0; at < 10; ++at)
     {
-        end("a", at % 2 == 0 ? attempt_end(failed_run{})
-                             : attempt_end(answered{}));
+        end("a",
+            at % 2 == 0 ? attempt_end(failed_run{}) : attempt_end(answered{}));
         end("b", answered{});
     }
     EXPECT_LT(share_of("a"), 10);
--- a/src/serving/upstream_book.cpp
+++ b/src/serving/upstream_book.cpp
@@ -22,8 +22,8 @@
 
 duration scaled(duration time, double factor)
 {
-    return duration(static_cast<duration::rep>(
-        static_cast<double>(time.count()) * factor));
+    return duration(
+        static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
 }
 
 } // namespace
@@ -80,8 +80,7 @@
     state.gone_at.reset();
 }
 
-void upstream_book::remove(
-    const upstream_id& id, duration grace, mono_time now)
+void upstream_book::remove(const upstream_id& id, duration grace, mono_time now)
 {
     const auto found = known_.find(id);
     if (found != known_.end() && !found->second.gone_at)
@@ -247,8 +246,8 @@
     const known_upstream& of = *best->of;
     return chosen_upstream{
         .entry = of.entry,
-        .weights = wanted.model ? version_at(of.entry, *wanted.model)
-                                : std::nullopt,
+        .weights =
+            wanted.model ? version_at(of.entry, *wanted.model) : std::nullopt,
         .expected_wait = expected_wait(of, now),
         .cost = best->cost,
         .in_flight = of.in_flight,
@@ -259,8 +258,7 @@
 {
     return std::any_of(
         known_.begin(), known_.end(),
-        [&](const auto& entry)
-        {
+        [&](const auto& entry) {
             return entry.second.entry.service == service &&
                    usable(entry.second, now);
         });
@@ -313,11 +311,11 @@
     note(id, how, now);
 }
 
-void upstream_book::add_experience(known_upstream& of, double failure, mono_time now)
+void upstream_book::add_experience(
+    known_upstream& of, double failure, mono_time now)
 {
     const double before = failures(of, now);
-    of.failure_share =
-        before + options_.failure_weight * (failure - before);
+    of.failure_share = before + options_.failure_weight * (failure - before);
     of.failures_at = now;
 }
 
--- a/src/serving/upstream_book.hpp
+++ b/src/serving/upstream_book.hpp
@@ -225,7 +225,8 @@
     [[nodiscard]] static bool has_left(
         const known_upstream& of, mono_time now) noexcept;
     [[nodiscard]] bool usable(const known_upstream& of, mono_time now) const;
-    [[nodiscard]] double failures(const known_upstream& of, mono_time now) const;
+    [[nodiscard]] double failures(
+        const known_upstream& of, mono_time now) const;
     [[nodiscard]] std::uint32_t prompts_waiting(
         const known_upstream& of, mono_time now) const;
     [[nodiscard]] bool load_known(
@@ -233,7 +234,8 @@
     [[nodiscard]] duration expected_wait(
         const known_upstream& of, mono_time now) const;
     [[nodiscard]] duration cost(
-        const known_upstream& of, const upstream_query& wanted, mono_time now) const;
+        const known_upstream& of, const upstream_query& wanted,
+        mono_time now) const;
     void add_experience(known_upstream& of, double failure, mono_time now);
     void pause(known_upstream& of, duration time, mono_time now);
 
--- a/src/sidecar/app.hpp
+++ b/src/sidecar/app.hpp
@@ -8,7 +8,6 @@
 #include "http/server.hpp"
 #include "identity/process_keys.hpp"
 #include "peer/peer.hpp"
-#include "table_service/client.hpp"
 #include "sidecar/attempt_record.hpp"
 #include "sidecar/cell_member.hpp"
 #include "sidecar/kept_cache_agent.hpp"
@@ -16,6 +15,7 @@
 #include "sidecar/store_service.hpp"
 #include "sidecar/upstream_monitor.hpp"
 #include "spread/runner.hpp"
+#include "table_service/client.hpp"
 #include "telemetry/counters.hpp"
 
 #include <boost/asio/io_context.hpp>
--- a/src/weights/rollout.cpp
+++ b/src/weights/rollout.cpp
@@ -162,7 +162,8 @@
         return;
     }
     slot.write = 0;
-    const auto* const done = std::get_if<table_service::committed>(&written.answer);
+    const auto* const done =
+        std::get_if<table_service::committed>(&written.answer);
     if (done == nullptr)
     {
         // A conflict or a lost answer: what stands is read back.
--- a/stand_ins/platform.cpp
+++ b/stand_ins/platform.cpp
@@ -148,12 +148,15 @@
             return "{}";
         }
         const auto answer = table_.apply(asked.value());
-        if (const auto* const done = std::get_if<table_service::committed>(&answer))
+        if (const auto* const done =
+                std::get_if<table_service::committed>(&answer))
         {
             return table_service::to_json(*done).dump();
         }
         status = conflict;
-        return table_service::to_json(std::get<table_service::conflicted>(answer)).dump();
+        return table_service::to_json(
+                   std::get<table_service::conflicted>(answer))
+            .dump();
     }
 
     std::string read(const http::request& asked) const
