Find an engine's entry by the life that it reports

The agents kept the old id until their next read of the list, ten seconds later, so gateways had no word on the new engines and put up to 22 prompts before one. Gateways also sent to earlier lives until the list dropped them (421).

--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -1,6 +1,7 @@
 // Loops of the agent.
 #include "agent/app.hpp"
 
+#include "agent/own_engine.hpp"
 #include "core/overloaded.hpp"
 #include "engine_status/listener.hpp"
 #include "http/endpoint.hpp"
@@ -241,16 +242,13 @@
 
 void app::find_place()
 {
-    const auto address = engine_address(settings_);
-    const auto before = std::exchange(self_, upstream_id{});
+    const auto before = std::exchange(
+        self_, find_own_engine(
+                   engines_, engine_address(settings_), engine_.started_ms));
     std::vector<upstream_id> ids;
     for (const auto& [id, entry] : engines_)
     {
         ids.push_back(id);
-        if (entry.address == address)
-        {
-            self_ = id;
-        }
     }
     if (self_ != before)
     {
@@ -319,12 +317,22 @@
                 .with("version", version);
         }
     }
+    if (engine_.started_ms != read.value().started_ms)
+    {
+        // Another life; its entry may not be in the list yet.
+        telemetry::event("engine_life_seen")
+            .with("started_ms", read.value().started_ms);
+        self_ = upstream_id{};
+        order_pending_ = false;
+        next_list_read_ = monotonic_clock::now();
+    }
     engine_ = engine_state{
         .weights = std::move(read.value().weights),
         .busy = read.value().busy,
         .orders = read.value().orders,
         .prompts_waiting = read.value().prompts_waiting,
-        .running = read.value().running};
+        .running = read.value().running,
+        .started_ms = read.value().started_ms};
     co_return true;
 }
 
--- a/src/agent/cache_sweep.hpp
+++ b/src/agent/cache_sweep.hpp
@@ -4,6 +4,7 @@
 #define WAGTAILSEAM_AGENT_CACHE_SWEEP_HPP
 
 #include "core/clock.hpp"
+#include "serving/cache_timing.hpp"
 #include "serving/cache_view.hpp"
 #include "serving/configuration.hpp"
 
@@ -15,11 +16,8 @@
 
 struct cache_sweep_options
 {
-    /// From the naming of weights until parts of older ones are freed. Longer
-    /// than any process may plan a fetch of them (it must have heard of the
-    /// operator's table 2.8 s ago or later, and plans such fetches for 5.5 s
-    /// after it learned of the weights), and than such a fetch lasts (0.3 s).
-    duration rest = std::chrono::milliseconds(9000);
+    /// From the naming of weights until parts of older ones are freed.
+    duration rest = serving::sweep_rest;
     /// A second agent sweeps this much later, should the first be away.
     duration turn = std::chrono::milliseconds(1500);
     /// Agents that sweep one store, one after the other.
--- a/src/agent/test/cache_sweep_test.cpp
+++ b/src/agent/test/cache_sweep_test.cpp
@@ -42,12 +42,12 @@
 
 TEST_F(cache_sweep_fixture, no_store_is_swept_while_parts_may_be_read)
 {
-    EXPECT_EQ(sweeps_until(milliseconds(8900)), 0U);
+    EXPECT_EQ(sweeps_until(serving::sweep_rest - milliseconds(100)), 0U);
 }
 
 TEST_F(cache_sweep_fixture, each_store_is_swept_by_one_agent_and_by_a_second)
 {
-    EXPECT_EQ(sweeps_until(milliseconds(9000)), stores_.size());
+    EXPECT_EQ(sweeps_until(serving::sweep_rest), stores_.size());
     EXPECT_EQ(sweeps_until(seconds(30)), stores_.size() * 2);
 }
 
@@ -60,7 +60,7 @@
         sweep.name({model, weight_version{2}}, now_);
         sweep.name({model, weight_version{3}}, now_ + seconds(4));
         for (const auto& due :
-             sweep.due(stores_, engines_, engine, now_ + seconds(9)))
+             sweep.due(stores_, engines_, engine, now_ + serving::sweep_rest))
         {
             EXPECT_EQ(due.oldest_kept, weight_version{2});
             ++swept_before_second;
--- a/src/agent/weight_turns.hpp
+++ b/src/agent/weight_turns.hpp
@@ -38,6 +38,8 @@
     std::uint64_t orders = 0;
     std::uint32_t prompts_waiting = 0;
     std::uint32_t running = 0;
+    /// Of its life, see serving::upstream.
+    std::uint64_t started_ms = 0;
 };
 
 /// An order to give now.
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -3,6 +3,7 @@
 
 #include "platform/request_codec.hpp"
 #include "routing/rendezvous.hpp"
+#include "serving/cache_timing.hpp"
 #include "telemetry/event_log.hpp"
 
 #include <boost/asio/experimental/as_tuple.hpp>
@@ -35,12 +36,6 @@
 constexpr int silent_gaps = 4;
 /// Least part of the latency target that is worth another attempt.
 constexpr int least_time_divisor = 4;
-/// Stores free parts of older weights some seconds after newer were named;
-/// fetches are planned only while that would have been heard.
-constexpr std::chrono::milliseconds operator_trust{2800};
-/// Parts of older weights are fetched this long after newer were named, while
-/// upstreams still change; agent::cache_sweep_options::rest is longer.
-constexpr std::chrono::milliseconds old_fetch_time{5500};
 /// Requests keep off older weights this long before the agreed time.
 constexpr std::chrono::milliseconds weights_margin{1500};
 /// Part of the latency target that each prompt waiting before a request may
@@ -194,7 +189,7 @@
         wanted.wanted = target->second.version;
         wanted.only_wanted =
             age > known_.settings.bounds.weights - weights_margin ||
-            (target->second.at_start && age > operator_trust);
+            (target->second.at_start && age > serving::operator_trust);
     }
     else
     {
@@ -311,7 +306,7 @@
         const bool fetchable = named == known_.weight_targets.end() ||
                                notes.weights == named->second.version ||
                                (!named->second.at_start &&
-                                now - named->second.learned < old_fetch_time);
+                                now - named->second.learned < serving::old_fetch_time);
         const serving::workspace shared;
         // Without known weights nothing may be shared.
         const auto salt =
@@ -319,7 +314,7 @@
                                 prompt.model, *notes.weights,
                                 workspace_ != nullptr ? *workspace_ : shared)
                           : serving::cache_salt{call_.id.value()};
-        const bool heard = now - known_.operator_heard < operator_trust;
+        const bool heard = now - known_.operator_heard < serving::operator_trust;
         notes.cache =
             fetchable && heard && notes.weights
                 ? known_.caches.plan(
--- a/src/serving/test/cache_view_test.cpp
+++ b/src/serving/test/cache_view_test.cpp
@@ -168,6 +168,14 @@
     EXPECT_EQ(plan().fetch_until_ms, 5'000'000 + 500 + 275);
 }
 
+TEST_F(cache_view_fixture, fetch_never_outlasts_the_rest_before_a_sweep)
+{
+    hear(1, {kept("a", 100)});
+    const auto made =
+        view_.plan(asked_, salt, here, seconds(30), seconds(30), now_);
+    EXPECT_EQ(made.fetch_until_ms, 5'000'000 + 900);
+}
+
 TEST_F(cache_view_fixture, part_sent_to_be_kept_is_not_sent_again_soon)
 {
     hear(1);
--- a/src/serving/test/upstream_book_test.cpp
+++ b/src/serving/test/upstream_book_test.cpp
@@ -289,6 +289,23 @@
     EXPECT_EQ(chosen(query()), "none");
 }
 
+TEST_F(upstream_book_fixture, restarted_upstream_replaces_its_earlier_life)
+{
+    // The list names the earlier life until its heartbeats are missed.
+    const http::address address{"10.0.0.1:80"};
+    book_.put(
+        {.id = upstream_id{"old"},
+         .service = engines,
+         .address = address,
+         .started_ms = 100});
+    book_.put(
+        {.id = upstream_id{"new"},
+         .service = engines,
+         .address = address,
+         .started_ms = 200});
+    EXPECT_EQ(share_of("new"), 200);
+}
+
 TEST_F(upstream_book_fixture, near_upstream_is_preferred_among_equals)
 {
     list("near", here);
--- a/src/serving/upstream.hpp
+++ b/src/serving/upstream.hpp
@@ -5,6 +5,7 @@
 #include "http/message.hpp"
 #include "serving/ids.hpp"
 
+#include <cstdint>
 #include <map>
 
 namespace wagtailseam::serving
@@ -20,6 +21,9 @@
     std::uint32_t slots = 1;
     /// Takes no new work.
     bool draining = false;
+    /// When its process started, by its own calendar clock in ms; 0: unknown.
+    /// Tells apart the entries of lives at one address.
+    std::uint64_t started_ms = 0;
     /// The weights that it runs, by model; empty for plain services.
     std::map<model_id, weight_version> weights;
 
--- a/src/serving/upstream_book.cpp
+++ b/src/serving/upstream_book.cpp
@@ -68,6 +68,7 @@
 
 void upstream_book::put(const upstream& listed)
 {
+    drop_earlier_lives(listed);
     auto& state = known_[listed.id];
     // The list lags behind what agents and answers said; weights only grow.
     auto weights = std::move(state.entry.weights);
@@ -80,6 +81,20 @@
     state.gone_at.reset();
 }
 
+void upstream_book::drop_earlier_lives(const upstream& listed)
+{
+    for (auto& [id, other] : known_)
+    {
+        const bool earlier = id != listed.id &&
+                             other.entry.address == listed.address &&
+                             other.entry.started_ms < listed.started_ms;
+        if (earlier)
+        {
+            other.gone_at = mono_time{};
+        }
+    }
+}
+
 void upstream_book::remove(const upstream_id& id, duration grace, mono_time now)
 {
     const auto found = known_.find(id);
--- a/src/serving/upstream_book.hpp
+++ b/src/serving/upstream_book.hpp
@@ -168,7 +168,8 @@
     /// used for the grace and then no more.
     void replace(
         const std::vector<upstream>& listed, duration grace, mono_time now);
-    /// Takes a new or changed entry.
+    /// Takes a new or changed entry. Those of earlier lives at its address are
+    /// not used any more.
     void put(const upstream& listed);
     /// The list no longer names it. It is used for the grace, since the list
     /// forgets live upstreams while the store is away.
@@ -222,6 +223,8 @@
         std::optional<mono_time> paused_until;
     };
 
+    /// Its address was theirs: they ended, whatever the list still says.
+    void drop_earlier_lives(const upstream& listed);
     [[nodiscard]] static bool has_left(
         const known_upstream& of, mono_time now) noexcept;
     [[nodiscard]] bool usable(const known_upstream& of, mono_time now) const;
