Fetch through longer outages of the platform's store

Cause: in incident inc-a1f2 the platform's store was away from 20 s to 28 s; gateways fetch cached parts only while they heard of the operator's table within 2.8 s, so 87 to 96 of 100 requests fetched nothing (request lines, fetched_parts=0) and their prompts were read again. Ruled out: lost cache stores (no line cache_store_lost).

--- a/src/agent/test/own_engine_test.cpp
+++ b/src/agent/test/own_engine_test.cpp
@@ -19,9 +19,7 @@
         listed.emplace(
             upstream_id{id},
             serving::upstream{
-                .id = upstream_id{id},
-                .address = here,
-                .started_ms = started});
+                .id = upstream_id{id}, .address = here, .started_ms = started});
     }
     return listed;
 }
@@ -37,21 +35,21 @@
 
 TEST(find_own_engine, life_that_is_not_listed_yet_has_no_id)
 {
-    EXPECT_EQ(find_own_engine(list_of({{"old", 100}}), here, 200),
-              upstream_id{});
+    EXPECT_EQ(
+        find_own_engine(list_of({{"old", 100}}), here, 200), upstream_id{});
 }
 
 TEST(find_own_engine, engine_without_start_time_is_latest_entry)
 {
-    EXPECT_EQ(find_own_engine(list_of({{"a", 2}, {"b", 1}}), here, 0),
-              upstream_id{"a"});
+    EXPECT_EQ(
+        find_own_engine(list_of({{"a", 2}, {"b", 1}}), here, 0),
+        upstream_id{"a"});
 }
 
 TEST(find_own_engine, entry_at_other_address_is_another_engine)
 {
     EXPECT_EQ(
-        find_own_engine(
-            list_of({{"a", 1}}), http::address{"10.0.0.2:80"}, 1),
+        find_own_engine(list_of({{"a", 1}}), http::address{"10.0.0.2:80"}, 1),
         upstream_id{});
 }
 
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -303,10 +303,11 @@
         {
             notes.weights = named->second.version;
         }
-        const bool fetchable = named == known_.weight_targets.end() ||
-                               notes.weights == named->second.version ||
-                               (!named->second.at_start &&
-                                now - named->second.learned < serving::old_fetch_time);
+        const bool fetchable =
+            named == known_.weight_targets.end() ||
+            notes.weights == named->second.version ||
+            (!named->second.at_start &&
+             now - named->second.learned < serving::old_fetch_time);
         const serving::workspace shared;
         // Without known weights nothing may be shared.
         const auto salt =
@@ -314,7 +315,8 @@
                                 prompt.model, *notes.weights,
                                 workspace_ != nullptr ? *workspace_ : shared)
                           : serving::cache_salt{call_.id.value()};
-        const bool heard = now - known_.operator_heard < serving::operator_trust;
+        const bool heard =
+            now - known_.operator_heard < serving::operator_trust;
         notes.cache =
             fetchable && heard && notes.weights
                 ? known_.caches.plan(
@@ -322,9 +324,28 @@
                       route_->latency_target, target.expected_wait, now)
                 : serving::cache_plan{.salt = salt};
     }
+    note_plan(target, notes.cache);
     return platform::encode_dispatch(call_, notes);
 }
 
+void request_run::note_plan(
+    const serving::chosen_upstream& target,
+    const std::optional<serving::cache_plan>& plan)
+{
+    expected_wait_ = target.expected_wait;
+    fetched_parts_ = 0;
+    saved_parts_ = 0;
+    if (!plan)
+    {
+        return;
+    }
+    for (const auto& part : plan->parts)
+    {
+        fetched_parts_ += part.fetch_from ? 1U : 0U;
+        saved_parts_ += part.save_to ? 1U : 0U;
+    }
+}
+
 duration request_run::silence_limit() const
 {
     const bool another = route_->repeatable() &&
@@ -620,6 +641,9 @@
         .with("runs", runs_)
         .with("last_end", last_end_)
         .with("upstream", last_upstream_ ? last_upstream_->value() : "none")
+        .with("expected_wait_us", expected_wait_.count())
+        .with("fetched_parts", fetched_parts_)
+        .with("saved_parts", saved_parts_)
         .with("took_us", took.count())
         .with("first_us", first_byte_ ? first_byte_->count() : -1)
         .with(
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -57,6 +57,10 @@
     [[nodiscard]] std::uint32_t max_prompts_waiting() const;
     [[nodiscard]] http::request message_for(
         const serving::chosen_upstream& target);
+    /// Keeps what was planned for the line at the end.
+    void note_plan(
+        const serving::chosen_upstream& target,
+        const std::optional<serving::cache_plan>& plan);
     [[nodiscard]] http::open_options options_for(
         const serving::chosen_upstream& target);
     [[nodiscard]] bool may_run_again() const;
@@ -101,6 +105,9 @@
     std::optional<upstream_id> last_upstream_;
     std::optional<duration> first_byte_;
     std::string last_end_ = "none";
+    std::size_t fetched_parts_ = 0;
+    std::size_t saved_parts_ = 0;
+    duration expected_wait_{};
 };
 
 } // namespace wagtailseam::gateway
--- a/src/serving/cache_timing.hpp
+++ b/src/serving/cache_timing.hpp
@@ -10,14 +10,14 @@
 
 /// Fetches are planned only by processes that heard of the operator's table
 /// within this time; covers one poll of it and a retry.
-inline constexpr duration operator_trust = std::chrono::milliseconds(2800);
+inline constexpr duration operator_trust = std::chrono::milliseconds(7500);
 /// Parts of older weights are fetched this long after a process learned of
 /// newer ones, while upstreams still change; a rollout takes some 3.5 s.
 inline constexpr duration old_fetch_time = std::chrono::milliseconds(4000);
 /// No fetch is allowed to last longer.
 inline constexpr duration longest_fetch = std::chrono::milliseconds(900);
 /// From the naming of weights until parts of older ones are freed.
-inline constexpr duration sweep_rest = std::chrono::milliseconds(8000);
+inline constexpr duration sweep_rest = std::chrono::milliseconds(12500);
 
 static_assert(
     sweep_rest > operator_trust + old_fetch_time + longest_fetch,
--- a/src/serving/cache_view.cpp
+++ b/src/serving/cache_view.cpp
@@ -317,10 +317,10 @@
             options_.fetch_part_of_target);
         made.fetch_until_ms =
             to_ms(
-                now + std::min(
-                          longest_fetch,
-                          std::min(expected_wait, latency_target) +
-                              duration(limit))) +
+                now +
+                std::min(
+                    longest_fetch, std::min(expected_wait, latency_target) +
+                                       duration(limit))) +
             *clock_offset_ms_;
     }
     return made;
