--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -1,7 +1,6 @@
 // The course of a request, step by step.
 #include "gateway/request_run.hpp"
 
-#include "platform/request_codec.hpp"
 #include "routing/rendezvous.hpp"
 #include "serving/cache_timing.hpp"
 #include "telemetry/event_log.hpp"
@@ -457,6 +456,29 @@
     return may_run_again() ? next_step::try_again : next_step::give_up;
 }
 
+serving::attempt_end request_run::refusal_of(
+    const serving::chosen_upstream& target,
+    const platform::upstream_answer& said) const
+{
+    if (!said.misdirected)
+    {
+        return serving::refused_busy{said.retry_after};
+    }
+    const bool other = said.instance && *said.instance != target.entry.id;
+    if (other || !call_.asked_prompt)
+    {
+        return serving::misdirected{};
+    }
+    const auto& model = call_.asked_prompt->model;
+    auto running = said.weights;
+    const auto named = known_.weight_targets.find(model);
+    if (!running && named != known_.weight_targets.end())
+    {
+        running = named->second.version;
+    }
+    return serving::weights_differ{.model = model, .running = running};
+}
+
 asio::awaitable<request_run::next_step> request_run::judge(
     const serving::chosen_upstream& target, http::response_stream stream)
 {
@@ -464,33 +486,13 @@
     if (said.not_run)
     {
         --runs_;
-        if (!said.misdirected)
-        {
-            end_attempt(target, serving::refused_busy{said.retry_after});
-        }
-        else if (said.instance && *said.instance != target.entry.id)
+        const auto end = refusal_of(target, said);
+        end_attempt(target, end);
+        if (std::holds_alternative<serving::weights_differ>(end))
         {
-            end_attempt(target, serving::misdirected{});
-        }
-        else if (call_.asked_prompt)
-        {
-            const auto& model = call_.asked_prompt->model;
-            const auto named = known_.weight_targets.find(model);
-            end_attempt(
-                target,
-                serving::weights_differ{
-                    .model = model,
-                    .running = said.weights ? said.weights
-                               : named != known_.weight_targets.end()
-                                   ? std::optional(named->second.version)
-                                   : std::nullopt});
             // The same upstream serves it under the weights that it has.
             tried_.erase(target.entry.id);
         }
-        else
-        {
-            end_attempt(target, serving::misdirected{});
-        }
         code_ = said.misdirected ? result_code::upstream_refused
                                  : result_code::upstream_busy;
         // Reads what is left, so that the connection can be used again.
@@ -507,71 +509,97 @@
     co_return co_await pass_on(target, stream);
 }
 
-asio::awaitable<request_run::next_step> request_run::pass_on(
-    const serving::chosen_upstream& target, http::response_stream& stream)
+asio::awaitable<void> request_run::begin_answer(const http::response& received)
 {
     if (!first_byte_)
     {
         first_byte_ = monotonic_clock::now() - received_;
     }
-    const bool streaming = route_->kind == serving::route_kind::streaming;
-    const bool cut_at_events = streaming && route_->resumable;
-    if (!head_sent_)
+    if (head_sent_)
     {
-        auto head = platform::forwarded_head(stream.head());
-        status_ = head.status;
-        if (cut_at_events)
-        {
-            head.stream_length.reset();
-        }
-        head_sent_ = true;
-        if (!co_await exchange_.begin_stream(std::move(head)))
-        {
-            caller_gone_ = true;
-        }
+        co_return;
+    }
+    auto head = platform::forwarded_head(received);
+    status_ = head.status;
+    if (cut_at_events())
+    {
+        // A part of it may come from another upstream.
+        head.stream_length.reset();
+    }
+    head_sent_ = true;
+    const auto begun = co_await exchange_.begin_stream(std::move(head));
+    caller_gone_ = caller_gone_ || !begun;
+}
+
+bool request_run::cut_at_events() const
+{
+    return route_->kind == serving::route_kind::streaming && route_->resumable;
+}
+
+asio::awaitable<void> request_run::pass_part(std::string_view part)
+{
+    std::string whole_events;
+    if (cut_at_events())
+    {
+        whole_events = events_.take(part);
+        part = whole_events;
     }
+    const auto written = co_await exchange_.write(part);
+    caller_gone_ = caller_gone_ || !written;
+}
+
+asio::awaitable<void> request_run::end_answer(
+    const serving::chosen_upstream& target)
+{
+    const std::string rest = events_.partial();
+    (void)co_await exchange_.write(rest);
+    (void)co_await exchange_.end_stream();
+    if (status_ < status_server_error)
+    {
+        end_attempt(target, serving::answered{});
+        code_ = result_code::ok;
+        co_return;
+    }
+    end_attempt(target, serving::failed_run{});
+    code_ = result_code::upstream_lost;
+}
+
+request_run::next_step request_run::after_break(
+    const serving::chosen_upstream& target)
+{
+    end_attempt(target, serving::failed_run{});
+    code_ = time_left() <= duration::zero() ? result_code::deadline_passed
+                                            : result_code::stream_broken;
+    events_.drop_partial();
+    return cut_at_events() && may_run_again() ? next_step::try_again
+                                              : next_step::give_up;
+}
+
+asio::awaitable<request_run::next_step> request_run::pass_on(
+    const serving::chosen_upstream& target, http::response_stream& stream)
+{
+    co_await begin_answer(stream.head());
     while (!caller_gone_)
     {
         const duration limit =
-            cut_at_events && may_run_again()
+            cut_at_events() && may_run_again()
                 ? std::min(time_left(), route_->max_event_gap * silent_gaps)
                 : time_left();
         const auto part = co_await stream.read(limit);
+        if (!part && caller_gone_)
+        {
+            break;
+        }
         if (!part)
         {
-            if (caller_gone_)
-            {
-                break;
-            }
-            end_attempt(target, serving::failed_run{});
-            code_ = time_left() <= duration::zero()
-                        ? result_code::deadline_passed
-                        : result_code::stream_broken;
-            events_.drop_partial();
-            const bool resume = cut_at_events && may_run_again();
-            co_return resume ? next_step::try_again : next_step::give_up;
+            co_return after_break(target);
         }
         if (part.value().empty())
         {
-            const std::string rest = events_.partial();
-            (void)co_await exchange_.write(rest);
-            (void)co_await exchange_.end_stream();
-            const bool good = status_ < status_server_error;
-            end_attempt(
-                target, good ? serving::attempt_end(serving::answered{})
-                             : serving::attempt_end(serving::failed_run{}));
-            code_ = good ? result_code::ok : result_code::upstream_lost;
+            co_await end_answer(target);
             co_return next_step::finished;
         }
-        std::string whole_events;
-        std::string_view bytes = part.value();
-        if (cut_at_events)
-        {
-            whole_events = events_.take(bytes);
-            bytes = whole_events;
-        }
-        const auto written = co_await exchange_.write(bytes);
-        caller_gone_ = caller_gone_ || !written;
+        co_await pass_part(part.value());
     }
     stream.close();
     end_attempt(target, serving::abandoned{});
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -5,6 +5,7 @@
 #include "gateway/knowledge.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
+#include "platform/request_codec.hpp"
 #include "serving/call.hpp"
 #include "serving/event_splitter.hpp"
 
@@ -45,6 +46,17 @@
     asio::awaitable<next_step> attempt(serving::chosen_upstream target);
     asio::awaitable<next_step> judge(
         const serving::chosen_upstream& target, http::response_stream stream);
+    /// Why an upstream did not run the request.
+    [[nodiscard]] serving::attempt_end refusal_of(
+        const serving::chosen_upstream& target,
+        const platform::upstream_answer& said) const;
+    asio::awaitable<void> begin_answer(const http::response& received);
+    asio::awaitable<void> pass_part(std::string_view part);
+    asio::awaitable<void> end_answer(const serving::chosen_upstream& target);
+    [[nodiscard]] next_step after_break(const serving::chosen_upstream& target);
+    /// Whether only whole events are passed on, so that another upstream can
+    /// go on after them.
+    [[nodiscard]] bool cut_at_events() const;
     asio::awaitable<next_step> pass_on(
         const serving::chosen_upstream& target, http::response_stream& stream);
     asio::awaitable<bool> wait_for_upstream();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -102,6 +102,23 @@
     link->written = !failed;
 }
 
+/// Writes a request, a long one beside the reading of its answer.
+asio::awaitable<boost::system::error_code> send(
+    std::shared_ptr<connection> link, std::shared_ptr<message> sent)
+{
+    if (sent->body().size() > concurrent_write_bytes)
+    {
+        link->written = false;
+        asio::co_spawn(
+            link->stream.get_executor(), write_beside(link, sent),
+            asio::detached);
+        co_return boost::system::error_code{};
+    }
+    const auto [failed, size] =
+        co_await bhttp::async_write(link->stream, *sent, completion);
+    co_return failed;
+}
+
 /// Returns how long the server keeps an idle connection, at most `most`.
 duration announced_idle_time(const response& head, duration most)
 {
@@ -241,6 +258,9 @@
     asio::awaitable<boost::system::error_code> receive_head(
         std::size_t max_body_bytes);
     asio::awaitable<boost::system::error_code> drop_body();
+    asio::awaitable<result<void>> receive_answer(
+        std::string echoed_header, std::string expected,
+        std::size_t max_body_bytes);
     void read_head();
     void finish();
 };
@@ -282,6 +302,33 @@
     co_return boost::system::error_code{};
 }
 
+/// Reads the head of the answer to this request, past late ones to earlier
+/// requests.
+asio::awaitable<result<void>> response_stream::state::receive_answer(
+    std::string echoed_header, std::string expected, std::size_t max_body_bytes)
+{
+    for (int dropped = 0; dropped <= max_dropped_answers; ++dropped)
+    {
+        const auto failed = co_await receive_head(max_body_bytes);
+        if (failed)
+        {
+            co_return fail(result_code::stream_broken, failed.message());
+        }
+        const auto echo = head.header(echoed_header);
+        if (expected.empty() || echo.empty() || echo == expected)
+        {
+            co_return boost::outcome_v2::success();
+        }
+        const auto broken = co_await drop_body();
+        if (broken)
+        {
+            co_return fail(result_code::stream_broken, broken.message());
+        }
+    }
+    co_return fail(
+        result_code::stream_broken, "only answers to earlier requests came");
+}
+
 void response_stream::state::read_head()
 {
     const auto& message = parser->get();
@@ -432,41 +479,18 @@
     {
         how.before_write();
     }
-    if (sent->body().size() > concurrent_write_bytes)
-    {
-        link->written = false;
-        asio::co_spawn(
-            state_->executor, write_beside(link, sent), asio::detached);
-    }
-    else
+    const auto failed = co_await send(link, sent);
+    if (failed)
     {
-        const auto [failed, size] =
-            co_await bhttp::async_write(link->stream, *sent, completion);
-        if (failed)
-        {
-            co_return fail(result_code::stream_broken, failed.message());
-        }
+        co_return fail(result_code::stream_broken, failed.message());
     }
-    for (int dropped = 0; dropped <= max_dropped_answers; ++dropped)
+    const auto answered = co_await opened->receive_answer(
+        how.echoed_header, expected, state_->options.max_body_bytes);
+    if (!answered)
     {
-        const auto failed =
-            co_await opened->receive_head(state_->options.max_body_bytes);
-        if (failed)
-        {
-            co_return fail(result_code::stream_broken, failed.message());
-        }
-        const auto echo = opened->head.header(how.echoed_header);
-        if (expected.empty() || echo.empty() || echo == expected)
-        {
-            co_return response_stream(std::move(opened));
-        }
-        if (const auto broken = co_await opened->drop_body())
-        {
-            co_return fail(result_code::stream_broken, broken.message());
-        }
+        co_return boost::outcome_v2::failure(answered.error());
     }
-    co_return fail(
-        result_code::stream_broken, "only answers to earlier requests came");
+    co_return response_stream(std::move(opened));
 }
 
 asio::awaitable<result<response>> client::fetch(
--- a/src/serving/upstream_book.cpp
+++ b/src/serving/upstream_book.cpp
@@ -201,6 +201,22 @@
     return sum;
 }
 
+bool upstream_book::fits(
+    const known_upstream& of, const upstream_query& wanted, mono_time now) const
+{
+    if (of.entry.service != wanted.service ||
+        wanted.tried.contains(of.entry.id) || !usable(of, now))
+    {
+        return false;
+    }
+    if (!wanted.only_wanted || !wanted.model)
+    {
+        return true;
+    }
+    const auto version = version_at(of.entry, *wanted.model);
+    return !version || *version >= wanted.wanted;
+}
+
 choice upstream_book::choose(
     const upstream_query& wanted, random_source& random, mono_time now)
 {
@@ -212,37 +228,25 @@
     };
     std::vector<candidate> candidates;
     bool overloaded = false;
-    for (const auto& [id, state] : known_)
+    for (const auto& [id, of] : known_)
     {
-        if (state.entry.service != wanted.service ||
-            wanted.tried.contains(id) || !usable(state, now))
+        if (!fits(of, wanted, now))
         {
             continue;
         }
-        if (wanted.only_wanted && wanted.model)
-        {
-            const auto version = version_at(state.entry, *wanted.model);
-            if (version && *version < wanted.wanted)
-            {
-                continue;
-            }
-        }
         if (wanted.max_prompts_waiting &&
-            prompts_waiting(state, now) >= *wanted.max_prompts_waiting)
+            prompts_waiting(of, now) >= *wanted.max_prompts_waiting)
         {
             overloaded = true;
             continue;
         }
-        const std::uint64_t home =
-            wanted.home_key != 0
-                ? routing::rendezvous_weight(
-                      wanted.home_key, routing::stable_hash(id.value()))
-                : 0;
         // Entries with the same word on the load would all choose the same
         // upstream; this spreads them over those that are about as good.
         const duration noise(static_cast<duration::rep>(random.below(
             static_cast<std::uint64_t>(options_.wait_per_prompt.count()))));
-        candidates.push_back({&state, cost(state, wanted, now) + noise, home});
+        const auto home = routing::rendezvous_weight(
+            wanted.home_key, routing::stable_hash(id.value()));
+        candidates.push_back({&of, cost(of, wanted, now) + noise, home});
     }
     if (candidates.empty())
     {
--- a/src/serving/upstream_book.hpp
+++ b/src/serving/upstream_book.hpp
@@ -228,6 +228,10 @@
     [[nodiscard]] static bool has_left(
         const known_upstream& of, mono_time now) noexcept;
     [[nodiscard]] bool usable(const known_upstream& of, mono_time now) const;
+    /// Whether it may be chosen, whatever its load.
+    [[nodiscard]] bool fits(
+        const known_upstream& of, const upstream_query& wanted,
+        mono_time now) const;
     [[nodiscard]] double failures(
         const known_upstream& of, mono_time now) const;
     [[nodiscard]] std::uint32_t prompts_waiting(
