--- a/src/gateway/knowledge.hpp
+++ b/src/gateway/knowledge.hpp
@@ -10,7 +10,9 @@
 #include "serving/route_table.hpp"
 #include "serving/upstream_book.hpp"
 #include "telemetry/counters.hpp"
+#include "telemetry/line_budget.hpp"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -27,6 +29,9 @@
     bool at_start = false;
 };
 
+/// Well above the usual rate of an entry, far below what a burst brings.
+inline constexpr std::uint32_t served_lines_a_second = 20;
+
 struct knowledge
 {
     explicit knowledge(platform::process_settings read);
@@ -44,6 +49,9 @@
     /// One budget for each service.
     std::map<serving::service_id, retry::retry_budget> budgets;
     telemetry::metrics metrics;
+    /// Lines of requests that ended well. Those that did not always leave
+    /// theirs.
+    telemetry::line_budget served_lines{served_lines_a_second};
     random_source random;
 
     [[nodiscard]] retry::retry_budget& budget(const serving::service_id& of);
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -30,6 +30,10 @@
 /// Streams that have not begun after this multiple of their target go on
 /// elsewhere; callers leave at four times the target.
 constexpr int silent_targets = 2;
+/// Silence beyond that is allowed for an engine's queue, as a multiple of its
+/// expected time, and at most up to this multiple of the target.
+constexpr int queue_allowance = 2;
+constexpr int longest_silence = 4;
 /// A pause of this multiple of the longest pause agreed ends a stream's
 /// attempt; callers leave at eight times the pause.
 constexpr int silent_gaps = 4;
@@ -179,7 +183,11 @@
     {
         return wanted;
     }
-    wanted.max_prompts_waiting = max_prompts_waiting();
+    if (runs_ == 0)
+    {
+        // One that was taken back from an engine is not lost for its queue.
+        wanted.max_prompts_waiting = max_prompts_waiting();
+    }
     const auto target = known_.weight_targets.find(call_.asked_prompt->model);
     if (target != known_.weight_targets.end())
     {
@@ -345,7 +353,8 @@
     }
 }
 
-duration request_run::silence_limit() const
+duration request_run::silence_limit(
+    const serving::chosen_upstream& target) const
 {
     const bool another = route_->repeatable() &&
                          runs_ + 1 < route_->max_attempts &&
@@ -356,16 +365,19 @@
     }
     const int targets =
         route_->kind == serving::route_kind::streaming ? silent_targets : 1;
-    return std::min(time_left(), route_->latency_target * targets);
+    // An engine with a queue is not silent before its queue is through.
+    const duration limit = route_->latency_target * targets +
+                           target.expected_wait * queue_allowance;
+    return std::min(
+        {time_left(), limit, route_->latency_target * longest_silence});
 }
 
 http::open_options request_run::options_for(
     const serving::chosen_upstream& target)
 {
-    static_cast<void>(target);
     control_ = std::make_shared<http::call_control>();
     return http::open_options{
-        .timeout = silence_limit(),
+        .timeout = silence_limit(target),
         .connect_timeout = std::min<duration>(connect_timeout, time_left()),
         .fresh_connection = !route_->repeatable(),
         .echoed_header = platform::request_id_header,
@@ -657,6 +669,16 @@
             "wagtail_first_byte_seconds",
             std::chrono::duration<double>(*first_byte_).count());
     }
+    std::uint64_t left_out = 0;
+    if (code_ == result_code::ok && sent_ == 1)
+    {
+        const auto granted = known_.served_lines.take(monotonic_clock::now());
+        if (!granted)
+        {
+            return;
+        }
+        left_out = *granted;
+    }
     telemetry::event line("request");
     line.with("request", call_.id)
         .with("route", route_ != nullptr ? route_->name : "none")
@@ -676,7 +698,8 @@
         .with("first_us", first_byte_ ? first_byte_->count() : -1)
         .with(
             "configuration",
-            routes_ ? routes_->source().number.value() : std::uint64_t{0});
+            routes_ ? routes_->source().number.value() : std::uint64_t{0})
+        .with("lines_left_out", left_out);
 }
 
 } // namespace wagtailseam::gateway
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -76,7 +76,8 @@
     [[nodiscard]] http::open_options options_for(
         const serving::chosen_upstream& target);
     [[nodiscard]] bool may_run_again() const;
-    [[nodiscard]] duration silence_limit() const;
+    [[nodiscard]] duration silence_limit(
+        const serving::chosen_upstream& target) const;
     [[nodiscard]] duration time_left() const;
     void end_attempt(
         const serving::chosen_upstream& target,
