--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -376,8 +376,10 @@
     const serving::chosen_upstream& target)
 {
     control_ = std::make_shared<http::call_control>();
+    const duration limit = silence_limit(target);
+    silent_at_ = monotonic_clock::now() + limit;
     return http::open_options{
-        .timeout = silence_limit(target),
+        .timeout = limit,
         .connect_timeout = std::min<duration>(connect_timeout, time_left()),
         .fresh_connection = !route_->repeatable(),
         .echoed_header = platform::request_id_header,
@@ -460,10 +462,12 @@
         code_ = result_code::upstream_unreachable;
         return next_step::try_again;
     }
-    const bool late = time_left() <= duration::zero();
+    const auto now = monotonic_clock::now();
+    const bool late = now >= deadline_;
+    const bool silent = late || now >= silent_at_;
     end_attempt(
-        target, late ? serving::attempt_end(serving::stayed_silent{})
-                     : serving::attempt_end(serving::failed_run{}));
+        target, silent ? serving::attempt_end(serving::stayed_silent{})
+                       : serving::attempt_end(serving::failed_run{}));
     code_ = late ? result_code::deadline_passed : result_code::outcome_unknown;
     return may_run_again() ? next_step::try_again : next_step::give_up;
 }
@@ -623,6 +627,7 @@
 {
     if (head_sent_)
     {
+        code_ = result_code::stream_broken;
         exchange_.abort();
         co_return;
     }
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -108,7 +108,8 @@
     std::uint32_t waits_ = 0;
     bool caller_gone_ = false;
     bool head_sent_ = false;
-    bool silent_limit_used_ = false;
+    /// When the attempt under way is given up without a word.
+    mono_time silent_at_;
     serving::event_splitter events_;
     std::shared_ptr<http::call_control> control_;
 
