Record a filing's outcome before its caller has it

Ruled out: a lost record on a slow table, since the holder retries. Now the record goes first, with the urgent writes; a table that takes more than 2 s no longer holds the answer back.

--- a/src/filing/filing_core.cpp
+++ b/src/filing/filing_core.cpp
@@ -283,11 +283,7 @@
     std::visit(
         overloaded{
             [this, now](const attempt::finished& ran)
-            {
-                answer(result_code::ok, ran.outcome);
-                pending_.outcome = ran.outcome;
-                record(filing_state::finished, result_code::ok, now);
-            },
+            { record_outcome(ran.outcome, now); },
             [this, now](const attempt::not_run& refusal)
             {
                 avoid_.push_back(pending_.target.upstream);
@@ -323,15 +319,41 @@
     phase_ = phase::recording;
     phase_until_ = now.mono + options_.record_bound;
     pause_ = options_.first_record_backoff;
-    write_pending(false);
+    write_record();
+}
+
+void filing_core::record_outcome(
+    const attempt::run_outcome& outcome, moment now)
+{
+    // Recorded before it is answered: what a caller has been told can be
+    // looked up again even when this process and the sidecar are killed.
+    pending_.outcome = outcome;
+    answer_until_ = now.mono + options_.answer_bound;
+    record(filing_state::finished, result_code::ok, now);
+    arm(answer_until_);
+}
+
+void filing_core::write_record()
+{
+    record_under_way_ = true;
+    write_pending(!answered_);
+}
+
+void filing_core::answer_outcome()
+{
+    if (!answered_)
+    {
+        answer(result_code::ok, pending_.outcome);
+    }
 }
 
 void filing_core::record_written(
     const table_service::transaction_answer& answer, moment now)
 {
+    record_under_way_ = false;
     std::visit(
         overloaded{
-            [this](const table_service::committed&) { end(); },
+            [this](const table_service::committed&) { end_recording(); },
             [this, now](const table_service::conflicted& conflict)
             { record_conflicted(conflict.current, now); },
             [this, now](const auto&) { retry_record(now); }},
@@ -343,13 +365,13 @@
 {
     if (!current || is_pending(*current))
     {
-        end();
+        end_recording();
         return;
     }
     const auto there = decode(current->value);
     if (!there || there.value().state == filing_state::finished)
     {
-        end();
+        end_recording();
         return;
     }
     const bool mine = there.value().nonce == pending_.nonce;
@@ -366,7 +388,7 @@
     {
         note(filing_note::outcome_displaced);
     }
-    end();
+    end_recording();
 }
 
 void filing_core::retry_record(moment now)
@@ -374,12 +396,31 @@
     if (now.mono >= phase_until_)
     {
         note(filing_note::record_given_up);
-        end();
+        end_recording();
         return;
     }
     note(filing_note::record_retried);
     pause_ = std::min(pause_ * 2, options_.max_record_backoff);
-    arm(now.mono + jittered(pause_));
+    const mono_time again = now.mono + jittered(pause_);
+    arm(answered_ ? again : std::min(again, answer_until_));
+}
+
+void filing_core::recording_timer_due(moment now)
+{
+    if (now.mono >= answer_until_)
+    {
+        answer_outcome();
+    }
+    if (!record_under_way_)
+    {
+        write_record();
+    }
+}
+
+void filing_core::end_recording()
+{
+    answer_outcome();
+    end();
 }
 
 void filing_core::look_for_abandoned(
@@ -430,7 +471,7 @@
         poll(now);
         return;
     case phase::recording:
-        write_pending(false);
+        recording_timer_due(now);
         return;
     case phase::abandoned:
         if (now.mono >= phase_until_)
--- a/src/filing/filing_core.hpp
+++ b/src/filing/filing_core.hpp
@@ -36,6 +36,9 @@
     duration first_record_backoff = std::chrono::milliseconds(50);
     duration max_record_backoff = std::chrono::seconds(5);
     duration record_bound = std::chrono::minutes(10);
+    /// How long a ready outcome waits for its record before the caller has
+    /// it all the same: twice the time for a claim.
+    duration answer_bound = std::chrono::seconds(2);
     /// How long a claim that was given up is looked for, to release it.
     duration abandon_bound = std::chrono::seconds(60);
     std::uint32_t max_attempts = 3;
@@ -225,7 +228,8 @@
         running,
         /// Waits for another call's outcome.
         waiting,
-        /// Writes what came of the request; the caller has its answer.
+        /// Writes what came of the request. The caller has its answer, but
+        /// for an outcome: that is given after its record.
         recording,
         /// The claim was given up and is looked for, to release it.
         abandoned,
@@ -264,11 +268,16 @@
     // Recording.
     void run_refused(result_code code, moment now);
     void record(filing_state state, result_code reason, moment now);
+    void record_outcome(const attempt::run_outcome& outcome, moment now);
+    void write_record();
     void record_written(
         const table_service::transaction_answer& answer, moment now);
     void record_conflicted(
         const std::optional<table_service::row>& current, moment now);
     void retry_record(moment now);
+    void recording_timer_due(moment now);
+    void answer_outcome();
+    void end_recording();
     void look_for_abandoned(
         const table_service::read_answer& answer, moment now);
 
@@ -308,6 +317,10 @@
     /// End of the phase claiming, recording or abandoned.
     mono_time phase_until_;
     duration pause_{};
+    /// When an outcome is given to the caller though its record is not certain.
+    mono_time answer_until_;
+    /// A write of the record was sent and is not answered.
+    bool record_under_way_ = false;
 
     /// The other call's record while waiting, of version version_.
     filing_record other_;
--- a/src/filing/filing_repeat.cpp
+++ b/src/filing/filing_repeat.cpp
@@ -177,10 +177,8 @@
 void filing_core::adopt(const attempt::run_outcome& outcome, moment now)
 {
     note(filing_note::outcome_adopted);
-    answer(result_code::ok, outcome);
     pending_ = other_;
-    pending_.outcome = outcome;
-    record(filing_state::finished, result_code::ok, now);
+    record_outcome(outcome, now);
 }
 
 void filing_core::sidecar_could_not_tell(moment now)
--- a/src/filing/test/filing_core_test.cpp
+++ b/src/filing/test/filing_core_test.cpp
@@ -125,8 +125,8 @@
 TEST_F(filing_core_test, outcome_is_answered_and_stored_for_repeats)
 {
     finish();
-    EXPECT_EQ(answer_code(), result_code::ok);
     write();
+    EXPECT_EQ(answer_code(), result_code::ok);
     EXPECT_EQ(stored(), filing_state::finished);
     make("repeat", "body");
     write();
@@ -135,6 +135,37 @@
     EXPECT_EQ(commanded<answer_caller>()->outcome, done);
 }
 
+TEST_F(filing_core_test, outcome_without_its_record_is_not_answered_yet)
+{
+    finish();
+    EXPECT_FALSE(commanded<answer_caller>());
+    ASSERT_TRUE(commanded<write_row>());
+    EXPECT_TRUE(commanded<write_row>()->urgent);
+    write_without_answer();
+    EXPECT_FALSE(commanded<answer_caller>());
+    timer(milliseconds(100));
+    write();
+    EXPECT_EQ(answer_code(), result_code::ok);
+    EXPECT_EQ(commanded<answer_caller>()->outcome, done);
+    EXPECT_TRUE(commanded<filing_over>());
+}
+
+TEST_F(filing_core_test, outcome_with_table_down_is_answered_at_its_bound)
+{
+    finish();
+    const auto first = commanded<write_row>();
+    timer(seconds(2));
+    EXPECT_EQ(answer_code(), result_code::ok);
+    EXPECT_FALSE(commanded<write_row>());
+    feed(row_written{first->operation, table_service::refused{}});
+    EXPECT_FALSE(commanded<filing_over>());
+    timer(milliseconds(100));
+    EXPECT_FALSE(commanded<answer_caller>());
+    write();
+    EXPECT_EQ(stored(), filing_state::finished);
+    EXPECT_TRUE(commanded<filing_over>());
+}
+
 TEST_F(filing_core_test, other_body_with_the_same_key_conflicts)
 {
     finish();
@@ -290,9 +321,10 @@
 {
     ask();
     sidecar_says(attempt::has_finished{done});
+    EXPECT_FALSE(commanded<answer_caller>());
+    write();
     ASSERT_EQ(answer_code(), result_code::ok);
     EXPECT_EQ(commanded<answer_caller>()->outcome, done);
-    write();
     EXPECT_EQ(stored(), filing_state::finished);
 }
 
