Tell a request's story from the logs; split the gateway's request

wagtailctl explain REQUEST reads log lines of any processes and tells, in time order, what happened, what was believed then and what is missing. Request lines name the weights expected and named. The gateway's request run is split: what an attempt asks for (dispatch_plan) and what is told at the end (request_record). No decision changes.

--- a/programs/programs.cmake
+++ b/programs/programs.cmake
@@ -8,7 +8,8 @@
 wagtail_program(wagtailctl
     SOURCES programs/wagtailctl.cpp programs/wagtailctl_questionnaire.cpp
         programs/wagtailctl_acceptance.cpp programs/wagtailctl_status.cpp
-    DEPENDS wagtail_questionnaire wagtail_table_service wagtail_runtime
+        programs/wagtailctl_explain.cpp
+    DEPENDS wagtail_log_story wagtail_questionnaire wagtail_table_service wagtail_runtime
         absl::flags absl::flags_parse absl::flags_usage absl::strings
         Threads::Threads)
 wagtail_program(wagtail-gateway
--- a/programs/wagtailctl.hpp
+++ b/programs/wagtailctl.hpp
@@ -56,6 +56,7 @@
 [[nodiscard]] std::vector<command> questionnaire_commands();
 [[nodiscard]] std::vector<command> acceptance_commands();
 [[nodiscard]] std::vector<command> status_commands();
+[[nodiscard]] std::vector<command> explain_commands();
 
 /// A platform client whose calls wait for their answers.
 class platform_session
--- /dev/null
+++ b/src/gateway/dispatch_plan.cpp
@@ -0,0 +1,165 @@
+// Queries, weights and cache plans of attempts.
+#include "gateway/dispatch_plan.hpp"
+
+#include "platform/request_codec.hpp"
+#include "routing/rendezvous.hpp"
+#include "serving/cache_timing.hpp"
+
+#include <algorithm>
+
+namespace wagtailseam::gateway
+{
+namespace
+{
+
+/// Requests keep off older weights this long before the agreed time.
+constexpr std::chrono::milliseconds weights_margin{1500};
+/// Part of the latency target that each prompt waiting before a request may
+/// take of it.
+constexpr std::chrono::milliseconds prompt_allowance{150};
+/// A caller that was refused before goes before new ones by as many prompts.
+constexpr std::uint32_t returned_allowance = 3;
+constexpr unsigned max_urgency = 9;
+
+/// The key of the longest part that other requests may share; 0 without one.
+std::uint64_t home_key_of(const serving::call& asked)
+{
+    if (!asked.asked_prompt || asked.asked_prompt->parts.size() < 2)
+    {
+        return 0;
+    }
+    const auto& parts = asked.asked_prompt->parts;
+    const auto longest = std::max_element(
+        parts.begin(), parts.end() - 1,
+        [](const auto& a, const auto& b) { return a.tokens < b.tokens; });
+    return routing::stable_hash(longest->id.value());
+}
+
+/// Prompts that may wait before the request at an engine.
+std::uint32_t max_prompts_waiting(const accepted_request& asked)
+{
+    const auto by_target = static_cast<std::uint32_t>(
+        asked.route->latency_target / prompt_allowance);
+    // More urgent prompts pass those that wait.
+    const std::uint32_t by_rank =
+        asked.route->priority == 0 ? by_target * 2 : by_target;
+    const bool came_back = asked.call.time_left < asked.route->timeout * 9 / 10;
+    return std::max(1U, by_rank) + (came_back ? returned_allowance : 0);
+}
+
+/// The operator's word on a model's weights, null without one.
+const known_target* named_target(const knowledge& known, const model_id& model)
+{
+    const auto found = known.weight_targets.find(model);
+    return found == known.weight_targets.end() ? nullptr : &found->second;
+}
+
+/// Whether no cached part under these weights can have been freed.
+bool may_fetch(
+    const knowledge& known, const known_target* named, weight_version weights,
+    mono_time now)
+{
+    if (now - known.operator_heard >= serving::operator_trust)
+    {
+        return false;
+    }
+    return named == nullptr || weights == named->version ||
+           (!named->at_start && now - named->learned < serving::old_fetch_time);
+}
+
+serving::cache_plan plan_cache(
+    knowledge& known, const accepted_request& asked,
+    const serving::chosen_upstream& target,
+    const std::optional<weight_version>& weights)
+{
+    const auto& prompt = *asked.call.asked_prompt;
+    const auto now = monotonic_clock::now();
+    if (!weights)
+    {
+        // Nothing may be shared under weights that are not known.
+        return {.salt = serving::cache_salt{asked.call.id.value()}};
+    }
+    const serving::workspace shared;
+    auto salt = serving::salt_of(
+        prompt.model, *weights,
+        asked.workspace != nullptr ? *asked.workspace : shared);
+    const auto* const named = named_target(known, prompt.model);
+    if (!may_fetch(known, named, *weights, now))
+    {
+        return {.salt = std::move(salt)};
+    }
+    return known.caches.plan(
+        prompt, salt, target.entry.data_centre, asked.route->latency_target,
+        target.expected_wait, now);
+}
+
+} // namespace
+
+serving::upstream_query query_for(
+    const knowledge& known, const accepted_request& asked,
+    const std::set<upstream_id>& tried, bool may_be_refused)
+{
+    serving::upstream_query wanted{
+        .service = asked.service,
+        .near = known.settings.data_centre,
+        .home_key = home_key_of(asked.call),
+        .tried = tried};
+    if (!asked.call.asked_prompt)
+    {
+        return wanted;
+    }
+    if (may_be_refused)
+    {
+        wanted.max_prompts_waiting = max_prompts_waiting(asked);
+    }
+    const auto& model = asked.call.asked_prompt->model;
+    wanted.model = model;
+    if (const auto* const named = named_target(known, model))
+    {
+        const duration age = monotonic_clock::now() - named->learned;
+        wanted.wanted = named->version;
+        wanted.only_wanted =
+            age > known.settings.bounds.weights - weights_margin ||
+            (named->at_start && age > serving::operator_trust);
+    }
+    return wanted;
+}
+
+planned_dispatch plan_dispatch(
+    knowledge& known, const accepted_request& asked,
+    const serving::chosen_upstream& target, const std::string& resume_after)
+{
+    planned_dispatch planned;
+    platform::dispatch_notes notes{
+        .upstream = target.entry.id,
+        .time_left = asked.time_left(),
+        .workspace =
+            asked.workspace != nullptr ? asked.workspace->id : workspace_id{},
+        .resume_after = resume_after};
+    if (asked.call.asked_prompt)
+    {
+        const std::uint32_t priority =
+            asked.workspace != nullptr
+                ? asked.workspace->priority.value_or(asked.route->priority)
+                : asked.route->priority;
+        notes.urgency = std::min(priority, max_urgency);
+        if (const auto* const named =
+                named_target(known, asked.call.asked_prompt->model))
+        {
+            planned.named_weights = named->version;
+        }
+        planned.weights =
+            target.weights ? target.weights : planned.named_weights;
+        notes.weights = planned.weights;
+        notes.cache = plan_cache(known, asked, target, planned.weights);
+        for (const auto& part : notes.cache->parts)
+        {
+            planned.fetched_parts += part.fetch_from ? 1U : 0U;
+            planned.saved_parts += part.save_to ? 1U : 0U;
+        }
+    }
+    planned.message = platform::encode_dispatch(asked.call, notes);
+    return planned;
+}
+
+} // namespace wagtailseam::gateway
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -2,7 +2,8 @@
 #ifndef WAGTAILSEAM_GATEWAY_REQUEST_RUN_HPP
 #define WAGTAILSEAM_GATEWAY_REQUEST_RUN_HPP
 
-#include "gateway/knowledge.hpp"
+#include "gateway/dispatch_plan.hpp"
+#include "gateway/request_record.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
 #include "platform/request_codec.hpp"
@@ -64,47 +65,24 @@
         unsigned status, result_code code, duration retry_after);
     asio::awaitable<void> give_final_answer();
 
-    [[nodiscard]] serving::upstream_query query() const;
-    /// Prompts that may wait before this one at an engine.
-    [[nodiscard]] std::uint32_t max_prompts_waiting() const;
-    [[nodiscard]] http::request message_for(
-        const serving::chosen_upstream& target);
-    /// Keeps what was planned for the line at the end.
-    void note_plan(
-        const serving::chosen_upstream& target,
-        const std::optional<serving::cache_plan>& plan);
     [[nodiscard]] http::open_options options_for(
         const serving::chosen_upstream& target);
     [[nodiscard]] bool may_run_again() const;
     [[nodiscard]] duration silence_limit(
         const serving::chosen_upstream& target) const;
-    [[nodiscard]] duration time_left() const;
     void end_attempt(
         const serving::chosen_upstream& target,
         const serving::attempt_end& how);
     [[nodiscard]] next_step after_open_failure(
         const serving::chosen_upstream& target, const error& why);
-    void log_end();
 
     knowledge& known_;
     http::client& upstreams_;
     http::exchange& exchange_;
 
-    mono_time received_;
-    mono_time deadline_;
-    serving::call call_;
-    /// Keeps route_ and workspace_ alive when the configuration changes.
-    std::shared_ptr<const serving::route_table> routes_;
-    const serving::route* route_ = nullptr;
-    /// Null on routes that are open to all.
-    const serving::workspace* workspace_ = nullptr;
-    serving::service_id service_;
-
+    accepted_request asked_;
+    request_record record_;
     std::set<upstream_id> tried_;
-    /// Messages that left, whatever became of them.
-    std::uint32_t sent_ = 0;
-    /// Upstreams that may have begun to run it.
-    std::uint32_t runs_ = 0;
     std::uint32_t waits_ = 0;
     bool caller_gone_ = false;
     bool head_sent_ = false;
@@ -112,16 +90,6 @@
     mono_time silent_at_;
     serving::event_splitter events_;
     std::shared_ptr<http::call_control> control_;
-
-    // For the line at the end.
-    unsigned status_ = 0;
-    result_code code_ = result_code::ok;
-    std::optional<upstream_id> last_upstream_;
-    std::optional<duration> first_byte_;
-    std::string last_end_ = "none";
-    std::size_t fetched_parts_ = 0;
-    std::size_t saved_parts_ = 0;
-    duration expected_wait_{};
 };
 
 } // namespace wagtailseam::gateway
