--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -44,6 +44,10 @@
 constexpr std::chrono::seconds list_interval{10};
 constexpr std::chrono::milliseconds list_retry{1000};
 constexpr std::chrono::seconds listener_poll{10};
+/// All processes of a deployment announce themselves within seconds.
+constexpr std::chrono::seconds listener_gather{2};
+/// Half of the time in which all engines must have new weights.
+constexpr std::chrono::seconds operator_poll{4};
 constexpr std::chrono::milliseconds sweep_interval{500};
 constexpr std::chrono::milliseconds store_timeout{1500};
 constexpr std::chrono::milliseconds fencing_pause{400};
@@ -69,13 +73,15 @@
           context, store_,
           {.table = platform::operator_table,
            .take = [this](const auto& rows, bool)
-           { take_operator_rows(rows); }}),
+           { take_operator_rows(rows); },
+           .poll_wait = operator_poll}),
       listener_table_(
           context, store_,
           {.table = engine_status::listener_table,
            .take = [this](const auto& rows, bool whole)
            { take_listener_rows(rows, whole); },
-           .poll_wait = listener_poll}),
+           .poll_wait = listener_poll,
+           .gather = listener_gather}),
       http_(
           context.get_executor(),
           {.connect_timeout = connect_timeout, .max_idle = 1}),
--- a/src/gateway/feeds.cpp
+++ b/src/gateway/feeds.cpp
@@ -37,6 +37,11 @@
 /// this long after its return.
 constexpr std::chrono::milliseconds relisting_time{2500};
 constexpr std::chrono::seconds unstable_time{3};
+/// The list of upstreams may be some seconds old: attempts and agents tell more
+/// and earlier. It changes with every order and heartbeat that matters, so
+/// changes are gathered.
+constexpr std::chrono::seconds upstream_poll{5};
+constexpr std::chrono::milliseconds upstream_gather{400};
 constexpr unsigned status_ok = 200;
 
 } // namespace
@@ -55,7 +60,9 @@
           context, store_,
           {.table = platform::upstream_table,
            .take = [this](const auto& rows, bool whole)
-           { take_upstream_rows(rows, whole); }}),
+           { take_upstream_rows(rows, whole); },
+           .poll_wait = upstream_poll,
+           .gather = upstream_gather}),
       agents_(
           context, asio::ip::udp::endpoint(
                        asio::ip::make_address(known.settings.ip),
