--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -2,8 +2,8 @@
 #include "agent/app.hpp"
 
 #include "agent/own_engine.hpp"
+#include "agent/store_turn.hpp"
 #include "core/overloaded.hpp"
-#include "engine_status/listener.hpp"
 #include "http/endpoint.hpp"
 #include "platform/documents.hpp"
 #include "platform/engine_calls.hpp"
@@ -19,6 +19,7 @@
 
 #include <algorithm>
 #include <array>
+#include <fmt/format.h>
 #include <stdexcept>
 #include <utility>
 
@@ -38,7 +39,11 @@
 /// A word that says nothing new is sent again after this time; gateways trust
 /// it for a second.
 constexpr std::chrono::milliseconds repeat_interval{400};
+/// Other agents need the weights alone, which they hear of at once.
+constexpr std::chrono::milliseconds agents_interval{1000};
 constexpr std::chrono::seconds load_log_interval{1};
+/// One may be away. Far below the polls that a store answers at once.
+constexpr std::size_t watchers_of_store = 2;
 /// Between two reads of the list of upstreams, and after a failed one. It is
 /// needed for ranks and for this engine's id alone.
 constexpr std::chrono::seconds list_interval{10};
@@ -72,8 +77,7 @@
       operator_table_(
           context, store_,
           {.table = platform::operator_table,
-           .take = [this](const auto& rows, bool)
-           { take_operator_rows(rows); },
+           .take = [this](const auto& rows, bool) { take_operator_rows(rows); },
            .poll_wait = operator_poll}),
       listener_table_(
           context, store_,
@@ -89,7 +93,10 @@
           context,
           asio::ip::udp::endpoint(
               asio::ip::make_address(settings_.ip), settings_.first_port)),
-      turns_({.bound = settings_.bounds.weights})
+      turns_({.bound = settings_.bounds.weights}),
+      watch_(
+          context, [this](const std::string& datagram)
+          { send(datagram, engine_status::listener_role::gateway); })
 {
     operator_table_.start();
     listener_table_.start();
@@ -99,7 +106,10 @@
     asio::co_spawn(
         context_,
         engine_status::announce_listener(
-            store_, settings_.vm, settings_.ip, settings_.first_port),
+            store_, settings_.vm,
+            {.address = http::address{fmt::format(
+                 "{}:{}", settings_.ip, settings_.first_port)},
+             .role = engine_status::listener_role::agent}),
         asio::detached);
     asio::co_spawn(context_, hear_agents(), asio::detached);
     asio::co_spawn(context_, sweep_stores(), asio::detached);
@@ -148,6 +158,7 @@
                     {
                         configuration_ = next.number;
                         cache_stores_ = next.stores;
+                        watch_stores();
                     }
                 },
                 [this, now](const serving::weight_target& target)
@@ -181,7 +192,10 @@
             listeners_.erase(row.key);
             continue;
         }
-        const auto address = http::parse_endpoint(http::address{*row.value});
+        const auto listener = engine_status::decode_listener(*row.value);
+        const auto address = listener ? http::parse_endpoint(listener->address)
+                                      : result<asio::ip::tcp::endpoint>(fail(
+                                            result_code::malformed_message));
         if (!address)
         {
             telemetry::event("listener_row_ignored")
@@ -190,8 +204,10 @@
             continue;
         }
         listeners_.insert_or_assign(
-            row.key, asio::ip::udp::endpoint(
-                         address.value().address(), address.value().port()));
+            row.key,
+            known_listener{
+                .address = {address.value().address(), address.value().port()},
+                .role = listener->role});
     }
 }
 
@@ -252,6 +268,30 @@
         telemetry::event("engine_listed").with("upstream", self_);
     }
     turns_.place(std::move(ids), self_);
+    watch_stores();
+}
+
+void app::watch_stores()
+{
+    if (self_.value().empty())
+    {
+        // Not listed for now: what it watched goes on, others watch as well.
+        return;
+    }
+    std::vector<upstream_id> ids;
+    for (const auto& [id, entry] : engines_)
+    {
+        ids.push_back(id);
+    }
+    std::vector<serving::cache_store> mine;
+    for (const auto& store : cache_stores_)
+    {
+        if (place_for(store.service, ids, self_) < watchers_of_store)
+        {
+            mine.push_back(store);
+        }
+    }
+    watch_.use(mine);
 }
 
 asio::awaitable<void> app::watch_engine()
@@ -280,7 +320,7 @@
         order_pending_ = order_pending_ && turns_.behind(engine_);
         if (known && !self_.value().empty())
         {
-            tell_gateways(engine_.busy || order_pending_);
+            tell_others(engine_.busy || order_pending_);
         }
         timer.expires_after(look_interval);
         co_await timer.async_wait(completion);
@@ -333,7 +373,7 @@
     co_return true;
 }
 
-void app::tell_gateways(bool loading)
+void app::tell_others(bool loading)
 {
     const auto now = monotonic_clock::now();
     auto next = word_;
@@ -346,6 +386,7 @@
     {
         return;
     }
+    const bool for_agents = next.weights != word_.weights;
     ++next.number;
     word_ = std::move(next);
     word_sent_ = now;
@@ -360,11 +401,25 @@
             .with("listeners", listeners_.size());
     }
     const auto datagram = engine_status::encode(word_);
-    for (const auto& [vm, address] : listeners_)
+    send(datagram, engine_status::listener_role::gateway);
+    if (for_agents || now - agents_told_ >= agents_interval)
     {
-        // A datagram that cannot be sent is made up by the next one.
-        boost::system::error_code ignored;
-        words_.send_to(asio::buffer(datagram), address, 0, ignored);
+        agents_told_ = now;
+        send(datagram, engine_status::listener_role::agent);
+    }
+}
+
+void app::send(const std::string& datagram, engine_status::listener_role to)
+{
+    for (const auto& [vm, listener] : listeners_)
+    {
+        if (listener.role == to)
+        {
+            // A datagram that cannot be sent is made up by the next one.
+            boost::system::error_code ignored;
+            words_.send_to(
+                asio::buffer(datagram), listener.address, 0, ignored);
+        }
     }
 }
 
@@ -373,7 +428,7 @@
     constexpr unsigned status_misdirected = 421;
     // Gateways send elsewhere from now on instead of being refused.
     order_pending_ = true;
-    tell_gateways(true);
+    tell_others(true);
     auto call = platform::order_call(
         {.upstream = self_,
          .model = order.model,
--- a/src/agent/app.hpp
+++ b/src/agent/app.hpp
@@ -3,7 +3,9 @@
 #define WAGTAILSEAM_AGENT_APP_HPP
 
 #include "agent/cache_sweep.hpp"
+#include "agent/cache_watch.hpp"
 #include "agent/weight_turns.hpp"
+#include "engine_status/listener.hpp"
 #include "engine_status/status.hpp"
 #include "http/client.hpp"
 #include "platform/settings_file.hpp"
@@ -46,7 +48,10 @@
     void take_listener_rows(const platform::row_set& rows, bool whole_table);
     asio::awaitable<void> read_engine_list();
     void find_place();
-    void tell_gateways(bool loading);
+    void tell_others(bool loading);
+    void send(const std::string& datagram, engine_status::listener_role to);
+    /// Shares the watching of the cache stores among the engines' agents.
+    void watch_stores();
 
     asio::io_context& context_;
     platform::process_settings settings_;
@@ -57,6 +62,7 @@
     asio::ip::udp::socket words_;
     weight_turns turns_;
     cache_sweep sweep_;
+    cache_watch watch_;
     std::vector<serving::cache_store> cache_stores_;
     config_number configuration_;
     /// The upstreams of this engine's service.
@@ -66,11 +72,17 @@
     engine_state engine_;
     bool engine_known_ = false;
     mono_time next_list_read_;
-    /// Where gateways take words on this engine, by their VMs.
-    std::map<std::string, asio::ip::udp::endpoint> listeners_;
+    struct known_listener
+    {
+        asio::ip::udp::endpoint address;
+        engine_status::listener_role role;
+    };
+    /// Where others take words on this engine, by their VMs.
+    std::map<std::string, known_listener> listeners_;
     /// The last word, sent again when nothing changes.
     engine_status::status word_;
     mono_time word_sent_;
+    mono_time agents_told_;
     mono_time load_logged_;
     /// An order was given and its end was not seen.
     bool order_pending_ = false;
--- a/src/agent/cache_sweep.cpp
+++ b/src/agent/cache_sweep.cpp
@@ -1,34 +1,10 @@
 // Whose turn a sweep is, and what it frees.
 #include "agent/cache_sweep.hpp"
 
-#include "routing/rendezvous.hpp"
-
-#include <algorithm>
+#include "agent/store_turn.hpp"
 
 namespace wagtailseam::agent
 {
-namespace
-{
-
-/// Returns the place of `self` in the order of engines for a store.
-std::size_t place_for(
-    const serving::cache_store& store, const std::vector<upstream_id>& engines,
-    const upstream_id& self)
-{
-    const auto key = routing::stable_hash(store.service.value());
-    const auto weight = [&](const upstream_id& engine)
-    {
-        return routing::rendezvous_weight(
-            key, routing::stable_hash(engine.value()));
-    };
-    const auto own = weight(self);
-    return static_cast<std::size_t>(std::count_if(
-        engines.begin(), engines.end(),
-        [&](const upstream_id& engine) { return weight(engine) > own; }));
-}
-
-} // namespace
-
 cache_sweep::cache_sweep(const cache_sweep_options& options) : options_(options)
 {
 }
@@ -57,7 +33,7 @@
     {
         for (const auto& store : stores)
         {
-            const auto place = place_for(store, engines, self);
+            const auto place = place_for(store.service, engines, self);
             const auto at = named.at + options_.rest +
                             options_.turn * static_cast<duration::rep>(place);
             if (place < options_.agents && now >= at &&
--- /dev/null
+++ b/src/agent/store_turn.cpp
@@ -0,0 +1,27 @@
+// Rendezvous hashing of engines for a store.
+#include "agent/store_turn.hpp"
+
+#include "routing/rendezvous.hpp"
+
+#include <algorithm>
+
+namespace wagtailseam::agent
+{
+
+std::size_t place_for(
+    const serving::service_id& store, const std::vector<upstream_id>& engines,
+    const upstream_id& self)
+{
+    const auto key = routing::stable_hash(store.value());
+    const auto weight = [&](const upstream_id& engine)
+    {
+        return routing::rendezvous_weight(
+            key, routing::stable_hash(engine.value()));
+    };
+    const auto own = weight(self);
+    return static_cast<std::size_t>(std::count_if(
+        engines.begin(), engines.end(),
+        [&](const upstream_id& engine) { return weight(engine) > own; }));
+}
+
+} // namespace wagtailseam::agent
--- /dev/null
+++ b/src/cache_relay/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(cache_relay DEPENDS wagtail_core wagtail_serving)
--- a/src/gateway/feeds.cpp
+++ b/src/gateway/feeds.cpp
@@ -1,6 +1,7 @@
 // The loops that follow the platform.
 #include "gateway/feeds.hpp"
 
+#include "cache_relay/notice.hpp"
 #include "core/overloaded.hpp"
 #include "engine_status/listener.hpp"
 #include "engine_status/status.hpp"
@@ -30,6 +31,13 @@
 /// Gathers changes, so that a busy store is polled a few times a second.
 constexpr std::chrono::milliseconds cache_pause{250};
 constexpr std::chrono::milliseconds cache_timeout{1400};
+/// A store answers few polls at once; the others are refused.
+constexpr std::chrono::milliseconds cache_retry_pause{1000};
+/// Agents pass on what a store says at least once a second.
+constexpr std::chrono::milliseconds relay_trust{1300};
+/// Agents learn of a new gateway within this time.
+constexpr std::chrono::seconds relay_start{3};
+constexpr std::chrono::milliseconds catch_up_spread{100};
 constexpr std::chrono::milliseconds cache_connect_timeout{300};
 /// Kept below the agreed time, for the way of requests already under way.
 constexpr std::chrono::milliseconds drain_margin{300};
@@ -80,8 +88,11 @@
     asio::co_spawn(
         context_,
         engine_status::announce_listener(
-            store_, known_.settings.vm, known_.settings.ip,
-            known_.settings.first_port),
+            store_, known_.settings.vm,
+            {.address =
+                 http::address{
+                     known_.settings.ip + ":" +
+                     std::to_string(known_.settings.first_port)}}),
         asio::detached);
     asio::co_spawn(context_, hear_agents(), asio::detached);
 }
@@ -97,6 +108,11 @@
         {
             co_return;
         }
+        if (!failed && cache_relay::is_notice({bytes.data(), size}))
+        {
+            take_notice({bytes.data(), size});
+            continue;
+        }
         const auto said = failed ? result<engine_status::status>(
                                        fail(result_code::malformed_message))
                                  : engine_status::decode({bytes.data(), size});
@@ -122,6 +138,41 @@
     }
 }
 
+void feeds::take_notice(std::string_view datagram)
+{
+    const auto news = cache_relay::decode(datagram);
+    if (!news)
+    {
+        known_.metrics.count("wagtail_agent_datagrams_dropped_total");
+        return;
+    }
+    const auto& store = news.value().store;
+    if (news.value().unreachable)
+    {
+        known_.caches.suspend(store);
+        return;
+    }
+    const auto now = monotonic_clock::now();
+    relayed_.insert_or_assign(store, now);
+    const auto lack = known_.caches.take(store, news.value().said, now);
+    const auto followed = followed_.find(store);
+    if (lack != serving::cache_lack::nothing && followed != followed_.end() &&
+        catching_up_.insert(store).second)
+    {
+        asio::co_spawn(context_, catch_up(followed->second), asio::detached);
+    }
+}
+
+asio::awaitable<void> feeds::catch_up(serving::cache_store store)
+{
+    // Other gateways may lack the same, and datagrams may cross.
+    co_await pause(duration(static_cast<duration::rep>(known_.random.below(
+        std::uint64_t(duration(catch_up_spread).count())))));
+    known_.metrics.count("wagtail_cache_store_catch_ups_total");
+    (void)co_await poll_cache(store, duration::zero());
+    catching_up_.erase(store.service);
+}
+
 asio::awaitable<void> feeds::pause(duration time)
 {
     asio::steady_timer timer(context_, time);
@@ -157,11 +208,23 @@
         .with("workspaces", read.workspaces.size())
         .with("stores", read.stores.size());
     known_.caches.use(read.stores);
+    std::erase_if(
+        followed_,
+        [&](const auto& entry)
+        {
+            return std::none_of(
+                read.stores.begin(), read.stores.end(),
+                [&](const auto& store)
+                { return store.service == entry.first; });
+        });
     for (const auto& store : read.stores)
     {
-        if (followed_.insert(store.address).second)
+        const auto [followed, is_new] =
+            followed_.insert_or_assign(store.service, store);
+        if (is_new)
         {
-            asio::co_spawn(context_, follow_cache(store), asio::detached);
+            asio::co_spawn(
+                context_, follow_cache(store.service), asio::detached);
         }
     }
     known_.routes =
@@ -237,12 +300,26 @@
     }
 }
 
-asio::awaitable<void> feeds::follow_cache(serving::cache_store store)
+bool feeds::is_relayed(const service_id& store) const
+{
+    const auto heard = relayed_.find(store);
+    const auto since = heard == relayed_.end() ? begun_ : heard->second;
+    return monotonic_clock::now() - since <
+           (heard == relayed_.end() ? relay_start : relay_trust);
+}
+
+asio::awaitable<void> feeds::follow_cache(service_id name)
 {
     bool reachable = true;
-    for (;;)
+    while (followed_.contains(name))
     {
-        const bool answered = co_await poll_cache(store);
+        if (is_relayed(name))
+        {
+            co_await pause(cache_pause);
+            continue;
+        }
+        const auto store = followed_.at(name);
+        const bool answered = co_await poll_cache(store, cache_wait);
         if (answered != reachable)
         {
             reachable = answered;
@@ -251,35 +328,39 @@
                 .with("store", store.service)
                 .with("address", store.address);
         }
-        co_await pause(answered ? cache_pause : retry_pause);
+        co_await pause(answered ? cache_pause : cache_retry_pause);
     }
 }
 
-asio::awaitable<bool> feeds::poll_cache(const serving::cache_store& store)
+asio::awaitable<bool> feeds::poll_cache(
+    const serving::cache_store& store, duration wait)
 {
     const auto after = known_.caches.next_change(store.service);
-    auto asked = platform::cache_changes_call(after, cache_wait);
+    auto asked = platform::cache_changes_call(after, wait);
     const auto answer =
         co_await caches_.fetch(store.address, std::move(asked), cache_timeout);
     if (!answer || answer.value().status != status_ok)
     {
-        known_.caches.lost(store.service);
         known_.metrics.count("wagtail_cache_store_failures_total");
+        if (!answer)
+        {
+            known_.caches.suspend(store.service);
+        }
         co_return false;
     }
-    const auto read = platform::decode_cache_changes(answer.value().body);
+    const auto read =
+        platform::decode_cache_changes(answer.value().body, after);
     if (!read)
     {
-        known_.caches.lost(store.service);
         telemetry::event("cache_changes_malformed")
             .with("store", store.service)
             .with("detail", read.error().detail)
             .warning();
         co_return false;
     }
-    const bool gap =
+    const auto lack =
         known_.caches.take(store.service, read.value(), monotonic_clock::now());
-    if (!gap)
+    if (lack != serving::cache_lack::content)
     {
         co_return true;
     }
@@ -296,7 +377,7 @@
                : result<serving::cache_content>(fail(answer.error().code));
     if (!read)
     {
-        known_.caches.lost(store.service);
+        known_.caches.suspend(store.service);
         co_return false;
     }
     known_.caches.take(store.service, read.value(), monotonic_clock::now());
--- a/src/gateway/feeds.hpp
+++ b/src/gateway/feeds.hpp
@@ -16,12 +16,14 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace wagtailseam::gateway
 {
 
 namespace asio = boost::asio;
+using serving::service_id;
 
 /// Follows the platform's tables and the cache stores until the io_context
 /// stops.
@@ -36,8 +38,14 @@
 
 private:
     asio::awaitable<void> hear_agents();
-    asio::awaitable<void> follow_cache(serving::cache_store store);
-    asio::awaitable<bool> poll_cache(const serving::cache_store& store);
+    void take_notice(std::string_view datagram);
+    /// Reads from a store itself what notices did not tell.
+    asio::awaitable<void> catch_up(serving::cache_store store);
+    /// Whether agents pass on what a store says.
+    [[nodiscard]] bool is_relayed(const service_id& store) const;
+    asio::awaitable<void> follow_cache(service_id name);
+    asio::awaitable<bool> poll_cache(
+        const serving::cache_store& store, duration wait);
     asio::awaitable<bool> list_cache(const serving::cache_store& store);
     asio::awaitable<void> pause(duration time);
 
@@ -57,8 +65,12 @@
     http::client caches_;
     /// Life and number of the last datagram about an engine.
     std::map<upstream_id, std::pair<std::uint64_t, std::uint64_t>> last_words_;
-    /// The stores that a coroutine follows.
-    std::set<http::address> followed_;
+    /// The stores of the configuration; each has a coroutine.
+    std::map<service_id, serving::cache_store> followed_;
+    /// When an agent last passed on a word of a store.
+    std::map<service_id, mono_time> relayed_;
+    std::set<service_id> catching_up_;
+    mono_time begun_ = monotonic_clock::now();
     bool first_operator_read_ = true;
 };
 
--- a/src/serving/cache_view.cpp
+++ b/src/serving/cache_view.cpp
@@ -78,33 +78,58 @@
 
 } // namespace
 
-bool cache_view::take(
+cache_lack cache_view::take(
     const service_id& store, const cache_changes& answer, mono_time now)
 {
     const auto state = find_store(stores_, store);
     if (state == stores_.end())
     {
-        return false;
+        return cache_lack::nothing;
     }
-    const bool continues = state->epoch == answer.epoch && !answer.gap;
-    if (!continues)
+    if (state->epoch != answer.epoch || answer.gap)
     {
         state->forget_content();
+        state->epoch.reset();
+        state->next = 0;
+        if (answer.after > 0 && !answer.gap)
+        {
+            return cache_lack::changes;
+        }
+    }
+    else if (answer.after > state->next)
+    {
+        note_heard(*state, answer, now);
+        return cache_lack::changes;
     }
     state->epoch = answer.epoch;
-    state->next = answer.next;
-    state->heard = now;
+    note_heard(*state, answer, now);
     for (const auto& change : answer.changes)
     {
-        set_held(*state, change.part, change.tokens);
+        if (change.number > state->next)
+        {
+            set_held(*state, change.part, change.tokens);
+        }
     }
+    state->next = std::max(state->next, answer.next);
+    return answer.gap ? cache_lack::content : cache_lack::nothing;
+}
+
+void cache_view::note_heard(
+    store_state& of, const cache_changes& answer, mono_time now)
+{
+    duration way{};
     if (answer.clock_ms)
     {
-        // The answer left the store between the question and now; taking its
-        // arrival makes the limit of fetches earlier, never later.
-        clock_offset_ms_ = *answer.clock_ms - to_ms(now);
+        // An answer that was long on its way, or lay in this process's queue
+        // while it did not run, shows less of a lead than others did. The lead
+        // is given up slowly, so that a clock set back is believed in the end.
+        const auto lead = *answer.clock_ms - to_ms(now);
+        const auto greatest = std::max(lead, of.clock_lead_ms.value_or(lead));
+        way = std::chrono::milliseconds(greatest - lead);
+        of.clock_lead_ms = greatest - (greatest > lead ? 1 : 0);
+        clock_offset_ms_ = of.clock_lead_ms;
     }
-    return answer.gap;
+    of.heard = std::max(of.heard, now - way);
 }
 
 void cache_view::take(
@@ -141,14 +166,12 @@
     }
 }
 
-void cache_view::lost(const service_id& store)
+void cache_view::suspend(const service_id& store)
 {
     const auto state = find_store(stores_, store);
     if (state != stores_.end())
     {
-        state->epoch.reset();
-        state->next = 0;
-        state->forget_content();
+        state->heard = mono_time{};
     }
 }
 
--- a/src/serving/cache_view.hpp
+++ b/src/serving/cache_view.hpp
@@ -35,12 +35,16 @@
     kept_part part;
     /// Tokens held from now on; zero when it was freed.
     token_count tokens;
+    /// The store counts its changes, in each of its lives.
+    std::uint64_t number = 0;
 };
 
-/// A store's answer to a poll for changes.
+/// A store's answer to a poll for changes, as heard from it or passed on.
 struct cache_changes
 {
     store_epoch epoch;
+    /// The poll asked for changes beyond this number.
+    std::uint64_t after = 0;
     /// Where the next poll continues.
     std::uint64_t next = 0;
     /// Some changes are no longer told.
@@ -60,6 +64,16 @@
     std::vector<kept_part> unfinished;
 };
 
+/// What is to be read from a store itself after changes were taken.
+enum class cache_lack : std::uint8_t
+{
+    nothing,
+    /// Changes are missing before those taken: poll from next_change() on.
+    changes,
+    /// The store tells the missing changes no longer: read the whole content.
+    content,
+};
+
 struct cache_view_options
 {
     /// A store that has not answered a poll for this time is not fetched
@@ -94,15 +108,16 @@
     /// is kept.
     void use(const std::vector<cache_store>& stores);
 
-    /// Takes the answer to a poll. A new epoch or a gap drops all that was
-    /// known. @return whether the whole content must be read again
-    bool take(
+    /// Takes the answer to a poll, in any order and more than once. Another
+    /// epoch or a gap drops all that was known.
+    cache_lack take(
         const service_id& store, const cache_changes& answer, mono_time now);
     /// Takes a whole content.
     void take(
         const service_id& store, const cache_content& answer, mono_time now);
-    /// The connection to a store broke: it may have restarted.
-    void lost(const service_id& store);
+    /// The connection to a store broke: it may have restarted. Nothing is
+    /// fetched from it until it is heard again in the same epoch.
+    void suspend(const service_id& store);
 
     /// Returns where the next poll of a store continues.
     [[nodiscard]] std::uint64_t next_change(const service_id& store) const;
@@ -122,10 +137,15 @@
     struct store_state
     {
         cache_store store;
-        /// Nothing before the first answer, and after the connection broke.
+        /// Nothing before the first answer, and while changes are missing
+        /// from an epoch's beginning.
         std::optional<store_epoch> epoch;
         std::uint64_t next = 0;
+        /// When its last answer left it, at the latest.
         mono_time heard;
+        /// The greatest lead of its clock over this process's that was seen,
+        /// in ms: that of the answer with the shortest way.
+        std::optional<std::int64_t> clock_lead_ms;
         std::map<kept_part, token_count> held;
         /// Sum over held.
         token_count used;
@@ -158,6 +178,8 @@
         const kept_part& part, token_count tokens, const data_centre_id& near,
         const store_state* held_at, bool hot, mono_time now);
     void remember_save(const kept_part& part, mono_time now);
+    void note_heard(
+        store_state& of, const cache_changes& answer, mono_time now);
     static void set_held(
         store_state& of, const kept_part& part, token_count tokens);
 
