--- a/src/gateway/feeds.cpp
+++ b/src/gateway/feeds.cpp
@@ -49,7 +49,7 @@
 /// and earlier. It changes with every order and heartbeat that matters, so
 /// changes are gathered.
 constexpr std::chrono::seconds upstream_poll{5};
-constexpr std::chrono::milliseconds upstream_gather{400};
+constexpr std::chrono::milliseconds upstream_gather{800};
 constexpr unsigned status_ok = 200;
 
 } // namespace
