--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -41,6 +41,9 @@
 constexpr std::chrono::milliseconds repeat_interval{400};
 /// Other agents need the weights alone, which they hear of at once.
 constexpr std::chrono::milliseconds agents_interval{1000};
+/// Claims that come within this time are told together; an engine gets some
+/// ten requests a second.
+constexpr std::chrono::milliseconds unread_gather{40};
 constexpr std::chrono::seconds load_log_interval{1};
 /// One may be away. Far below the polls that a store answers at once.
 constexpr std::size_t watchers_of_store = 2;
@@ -96,7 +99,8 @@
       turns_({.bound = settings_.bounds.weights}),
       watch_(
           context, [this](const std::string& datagram)
-          { send(datagram, engine_status::listener_role::gateway); })
+          { send(datagram, engine_status::listener_role::gateway); }),
+      unread_timer_(context)
 {
     operator_table_.start();
     listener_table_.start();
@@ -222,6 +226,11 @@
         {
             co_return;
         }
+        if (engine_status::is_claim({bytes.data(), failed ? 0 : size}))
+        {
+            take_claim({bytes.data(), size});
+            continue;
+        }
         const auto said = engine_status::decode({bytes.data(), size});
         if (said && said.value().upstream != self_)
         {
@@ -400,12 +409,11 @@
             .with("loading", word_.loading ? 1 : 0)
             .with("listeners", listeners_.size());
     }
-    const auto datagram = engine_status::encode(word_);
-    send(datagram, engine_status::listener_role::gateway);
+    send_to_gateways();
     if (for_agents || now - agents_told_ >= agents_interval)
     {
         agents_told_ = now;
-        send(datagram, engine_status::listener_role::agent);
+        send(engine_status::encode(word_), engine_status::listener_role::agent);
     }
 }
 
@@ -423,6 +431,61 @@
     }
 }
 
+void app::send_to_gateways()
+{
+    const auto now = monotonic_clock::now();
+    const auto all = claims_.total(now);
+    const bool any = claims_.any(now);
+    for (const auto& [vm, listener] : listeners_)
+    {
+        if (listener.role != engine_status::listener_role::gateway)
+        {
+            continue;
+        }
+        auto word = word_;
+        if (any)
+        {
+            const auto own = claims_.of(vm_id{vm}, now);
+            word.unread_of_others = serving::unread_work{
+                .prompts = all.prompts - own.prompts,
+                .reading = all.reading - own.reading};
+        }
+        boost::system::error_code ignored;
+        words_.send_to(
+            asio::buffer(engine_status::encode(word)), listener.address, 0,
+            ignored);
+    }
+}
+
+void app::take_claim(std::string_view datagram)
+{
+    const auto said = engine_status::decode_claim(datagram);
+    if (said && said.value().upstream == self_ &&
+        claims_.take(said.value(), monotonic_clock::now()))
+    {
+        tell_unread_soon();
+    }
+}
+
+void app::tell_unread_soon()
+{
+    if (std::exchange(unread_to_tell_, true))
+    {
+        return;
+    }
+    unread_timer_.expires_after(unread_gather);
+    unread_timer_.async_wait(
+        [this](const boost::system::error_code& failed)
+        {
+            unread_to_tell_ = false;
+            if (!failed && !word_.upstream.value().empty())
+            {
+                ++word_.number;
+                send_to_gateways();
+            }
+        });
+}
+
 asio::awaitable<void> app::give_order(due_order order)
 {
     constexpr unsigned status_misdirected = 421;
--- a/src/agent/app.hpp
+++ b/src/agent/app.hpp
@@ -5,6 +5,7 @@
 #include "agent/cache_sweep.hpp"
 #include "agent/cache_watch.hpp"
 #include "agent/weight_turns.hpp"
+#include "engine_status/claim.hpp"
 #include "engine_status/listener.hpp"
 #include "engine_status/status.hpp"
 #include "http/client.hpp"
@@ -15,9 +16,12 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <map>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace wagtailseam::agent
@@ -50,6 +54,11 @@
     void find_place();
     void tell_others(bool loading);
     void send(const std::string& datagram, engine_status::listener_role to);
+    /// Tells every gateway of the engine and of what the others have there.
+    void send_to_gateways();
+    void take_claim(std::string_view datagram);
+    /// Tells gateways soon, gathering the claims that come until then.
+    void tell_unread_soon();
     /// Shares the watching of the cache stores among the engines' agents.
     void watch_stores();
 
@@ -83,6 +92,9 @@
     engine_status::status word_;
     mono_time word_sent_;
     mono_time agents_told_;
+    engine_status::claim_book claims_;
+    asio::steady_timer unread_timer_;
+    bool unread_to_tell_ = false;
     mono_time load_logged_;
     /// An order was given and its end was not seen.
     bool order_pending_ = false;
--- a/src/engine_status/status.cpp
+++ b/src/engine_status/status.cpp
@@ -13,10 +13,15 @@
     {
         weights[model.value()] = version.value();
     }
-    const nlohmann::json document{
+    nlohmann::json document{
         {"u", said.upstream.value()}, {"n", said.number},  {"l", said.life},
         {"p", said.prompts_waiting},  {"r", said.running}, {"b", said.loading},
         {"w", std::move(weights)}};
+    if (said.unread_of_others)
+    {
+        document["o"] = said.unread_of_others->prompts;
+        document["t"] = said.unread_of_others->reading.count();
+    }
     std::string datagram;
     nlohmann::json::to_msgpack(document, datagram);
     return datagram;
@@ -43,6 +48,12 @@
             said.weights.insert_or_assign(
                 model_id{model}, weight_version{version.get<std::uint64_t>()});
         }
+        if (document.contains("o"))
+        {
+            said.unread_of_others = serving::unread_work{
+                .prompts = document.at("o").get<std::uint32_t>(),
+                .reading = duration(document.at("t").get<duration::rep>())};
+        }
         return said;
     }
     catch (const nlohmann::json::exception& raised)
--- a/src/engine_status/status.hpp
+++ b/src/engine_status/status.hpp
@@ -4,10 +4,11 @@
 #define WAGTAILSEAM_ENGINE_STATUS_STATUS_HPP
 
 #include "core/result.hpp"
-#include "serving/ids.hpp"
+#include "serving/upstream.hpp"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -31,6 +32,9 @@
     /// Takes no request until it has loaded weights.
     bool loading = false;
     std::map<model_id, weight_version> weights;
+    /// What gateways claim to have there: all of them but the receiver, whose
+    /// own claim may have changed meanwhile. Nothing when none speaks.
+    std::optional<serving::unread_work> unread_of_others;
 
     friend bool operator==(const status&, const status&) = default;
 };
--- a/src/engine_status/test/status_test.cpp
+++ b/src/engine_status/test/status_test.cpp
@@ -18,7 +18,9 @@
         .prompts_waiting = 3,
         .running = 12,
         .loading = true,
-        .weights = {{model_id{"m"}, weight_version{4}}}};
+        .weights = {{model_id{"m"}, weight_version{4}}},
+        .unread_of_others = serving::unread_work{
+            .prompts = 5, .reading = std::chrono::milliseconds(70)}};
     const auto read = decode(encode(said));
     ASSERT_TRUE(read.has_value());
     EXPECT_EQ(read.value().upstream, said.upstream);
@@ -28,6 +30,7 @@
     EXPECT_EQ(read.value().running, said.running);
     EXPECT_EQ(read.value().loading, said.loading);
     EXPECT_EQ(read.value().weights, said.weights);
+    EXPECT_EQ(read.value().unread_of_others, said.unread_of_others);
 }
 
 RC_GTEST_PROP(
--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -21,6 +21,29 @@
 constexpr std::uint32_t returned_allowance = 3;
 constexpr unsigned max_urgency = 9;
 
+/// Of an engine's reading: measured by the operators, some 90, less what
+/// running answers take of it.
+constexpr double tokens_read_per_ms = 75.0;
+/// A step of an engine, which even a cached prompt takes.
+constexpr std::chrono::milliseconds least_reading{5};
+
+duration reading_time(token_count unread)
+{
+    const std::chrono::duration<double, std::milli> time(
+        static_cast<double>(unread.value()) / tokens_read_per_ms);
+    return least_reading + std::chrono::duration_cast<duration>(time);
+}
+
+token_count all_tokens(const serving::prompt& of)
+{
+    token_count sum;
+    for (const auto& part : of.parts)
+    {
+        sum += part.tokens;
+    }
+    return sum;
+}
+
 /// The key of the longest part that other requests may share; 0 without one.
 std::uint64_t home_key_of(const serving::call& asked)
 {
@@ -77,7 +100,9 @@
     if (!weights)
     {
         // Nothing may be shared under weights that are not known.
-        return {.salt = serving::cache_salt{asked.call.id.value()}};
+        return {
+            .salt = serving::cache_salt{asked.call.id.value()},
+            .unread = all_tokens(prompt)};
     }
     const serving::workspace shared;
     auto salt = serving::salt_of(
@@ -86,7 +111,7 @@
     const auto* const named = named_target(known, prompt.model);
     if (!may_fetch(known, named, *weights, now))
     {
-        return {.salt = std::move(salt)};
+        return {.salt = std::move(salt), .unread = all_tokens(prompt)};
     }
     return known.caches.plan(
         prompt, salt, target.entry.data_centre, asked.route->latency_target,
@@ -152,6 +177,7 @@
             target.weights ? target.weights : planned.named_weights;
         notes.weights = planned.weights;
         notes.cache = plan_cache(known, asked, target, planned.weights);
+        planned.reading = reading_time(notes.cache->unread);
         for (const auto& part : notes.cache->parts)
         {
             planned.fetched_parts += part.fetch_from ? 1U : 0U;
--- a/src/gateway/dispatch_plan.hpp
+++ b/src/gateway/dispatch_plan.hpp
@@ -48,6 +48,8 @@
     /// Weights that the upstream is expected to run, and the operator's.
     std::optional<weight_version> weights;
     std::optional<weight_version> named_weights;
+    /// Until the upstream has read the prompt, once it turns to it.
+    duration reading{};
     std::size_t fetched_parts = 0;
     std::size_t saved_parts = 0;
 };
--- a/src/gateway/feeds.cpp
+++ b/src/gateway/feeds.cpp
@@ -3,6 +3,7 @@
 
 #include "cache_relay/notice.hpp"
 #include "core/overloaded.hpp"
+#include "engine_status/claim.hpp"
 #include "engine_status/listener.hpp"
 #include "engine_status/status.hpp"
 #include "platform/documents.hpp"
@@ -38,6 +39,8 @@
 /// Agents learn of a new gateway within this time.
 constexpr std::chrono::seconds relay_start{3};
 constexpr std::chrono::milliseconds catch_up_spread{100};
+/// Agents forget a claim that is not repeated within 1.3 s.
+constexpr std::chrono::milliseconds claim_interval{400};
 constexpr std::chrono::milliseconds cache_connect_timeout{300};
 /// Kept below the agreed time, for the way of requests already under way.
 constexpr std::chrono::milliseconds drain_margin{300};
@@ -95,46 +98,88 @@
                      std::to_string(known_.settings.first_port)}}),
         asio::detached);
     asio::co_spawn(context_, hear_agents(), asio::detached);
+    known_.unread_changed = [this](const auto& id) { claim_unread(id); };
+    asio::co_spawn(context_, repeat_claims(), asio::detached);
 }
 
 asio::awaitable<void> feeds::hear_agents()
 {
     std::array<char, engine_status::max_datagram> bytes{};
+    asio::ip::udp::endpoint from;
     for (;;)
     {
-        const auto [failed, size] =
-            co_await agents_.async_receive(asio::buffer(bytes), completion);
+        const auto [failed, size] = co_await agents_.async_receive_from(
+            asio::buffer(bytes), from, completion);
         if (failed == asio::error::operation_aborted)
         {
             co_return;
         }
-        if (!failed && cache_relay::is_notice({bytes.data(), size}))
+        const std::string_view datagram(bytes.data(), failed ? 0 : size);
+        if (cache_relay::is_notice(datagram))
         {
-            take_notice({bytes.data(), size});
-            continue;
+            take_notice(datagram);
         }
-        const auto said = failed ? result<engine_status::status>(
-                                       fail(result_code::malformed_message))
-                                 : engine_status::decode({bytes.data(), size});
-        if (!said)
+        else
         {
-            known_.metrics.count("wagtail_agent_datagrams_dropped_total");
-            continue;
+            take_status(datagram, from);
         }
-        const auto& word = said.value();
-        auto& last = last_words_[word.upstream];
-        if (last.first == word.life && last.second >= word.number)
+    }
+}
+
+void feeds::take_status(
+    std::string_view datagram, const asio::ip::udp::endpoint& from)
+{
+    const auto said = engine_status::decode(datagram);
+    if (!said)
+    {
+        known_.metrics.count("wagtail_agent_datagrams_dropped_total");
+        return;
+    }
+    const auto& word = said.value();
+    auto& last = last_words_[word.upstream];
+    if (last.first == word.life && last.second >= word.number)
+    {
+        return;
+    }
+    last = {word.life, word.number};
+    agent_of_.insert_or_assign(word.upstream, from);
+    known_.upstreams.take_load(
+        word.upstream,
+        {.prompts_waiting = word.prompts_waiting,
+         .running = word.running,
+         .loading = word.loading,
+         .weights = word.weights,
+         .unread_of_others = word.unread_of_others},
+        monotonic_clock::now());
+}
+
+void feeds::claim_unread(const upstream_id& id)
+{
+    const auto agent = agent_of_.find(id);
+    if (agent == agent_of_.end())
+    {
+        return;
+    }
+    const auto datagram = engine_status::encode(engine_status::claim{
+        .gateway = known_.settings.vm,
+        .upstream = id,
+        .life = life_,
+        .number = ++claims_,
+        .unread = known_.upstreams.own_unread(id)});
+    // A claim that cannot be sent is made up by the next one.
+    boost::system::error_code ignored;
+    agents_.send_to(asio::buffer(datagram), agent->second, 0, ignored);
+}
+
+asio::awaitable<void> feeds::repeat_claims()
+{
+    for (;;)
+    {
+        co_await pause(claim_interval);
+        for (const auto& id : known_.upstreams.with_own_unread())
         {
-            continue;
+            claim_unread(id);
         }
-        last = {word.life, word.number};
-        known_.upstreams.take_load(
-            word.upstream,
-            {.prompts_waiting = word.prompts_waiting,
-             .running = word.running,
-             .loading = word.loading,
-             .weights = word.weights},
-            monotonic_clock::now());
     }
 }
 
--- a/src/gateway/feeds.hpp
+++ b/src/gateway/feeds.hpp
@@ -7,6 +7,7 @@
 #include "http/client.hpp"
 #include "platform/store_client.hpp"
 #include "platform/table_follower.hpp"
+#include "runtime/program.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -38,6 +39,11 @@
 
 private:
     asio::awaitable<void> hear_agents();
+    void take_status(
+        std::string_view datagram, const asio::ip::udp::endpoint& from);
+    /// Tells an engine's agent what this gateway has there.
+    void claim_unread(const upstream_id& id);
+    asio::awaitable<void> repeat_claims();
     void take_notice(std::string_view datagram);
     /// Reads from a store itself what notices did not tell.
     asio::awaitable<void> catch_up(serving::cache_store store);
@@ -65,6 +71,10 @@
     http::client caches_;
     /// Life and number of the last datagram about an engine.
     std::map<upstream_id, std::pair<std::uint64_t, std::uint64_t>> last_words_;
+    /// Where the agents of engines take claims.
+    std::map<upstream_id, asio::ip::udp::endpoint> agent_of_;
+    std::uint64_t life_ = runtime::random_incarnation();
+    std::uint64_t claims_ = 0;
     /// The stores of the configuration; each has a coroutine.
     std::map<service_id, serving::cache_store> followed_;
     /// When an agent last passed on a word of a store.
--- a/src/gateway/knowledge.hpp
+++ b/src/gateway/knowledge.hpp
@@ -13,6 +13,7 @@
 #include "telemetry/line_budget.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -41,6 +42,9 @@
     std::shared_ptr<const serving::route_table> routes;
     std::map<model_id, known_target> weight_targets;
     serving::upstream_book upstreams;
+    /// Called when this process's unread prompts at an upstream change.
+    std::function<void(const upstream_id&)> unread_changed =
+        [](const upstream_id&) {};
     /// Whether the list of upstreams was read once.
     bool upstreams_listed = false;
     serving::cache_view caches;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -265,9 +265,27 @@
         .control = control_};
 }
 
+void request_run::begin_attempt(const upstream_id& id, duration reading)
+{
+    known_.upstreams.begin(id, reading);
+    unread_ = unread_prompt{.at = id, .reading = reading};
+    known_.unread_changed(id);
+}
+
+void request_run::prompt_read()
+{
+    if (unread_)
+    {
+        known_.upstreams.prompt_read(unread_->at, unread_->reading);
+        known_.unread_changed(unread_->at);
+        unread_.reset();
+    }
+}
+
 void request_run::end_attempt(
     const serving::chosen_upstream& target, const serving::attempt_end& how)
 {
+    prompt_read();
     record_.last_end = serving::name(how);
     known_.upstreams.end(target.entry.id, how, monotonic_clock::now());
     known_.metrics.count("wagtail_attempts_total", "end", record_.last_end);
@@ -303,7 +321,7 @@
     record_.fetched_parts = planned.fetched_parts;
     record_.saved_parts = planned.saved_parts;
     const auto options = options_for(target);
-    known_.upstreams.begin(target.entry.id);
+    begin_attempt(target.entry.id, planned.reading);
     // A silent upstream is avoided by others before this request ends.
     asio::steady_timer overdue(
         co_await asio::this_coro::executor,
@@ -408,6 +426,7 @@
 
 asio::awaitable<void> request_run::begin_answer(const http::response& received)
 {
+    prompt_read();
     if (!record_.first_byte)
     {
         record_.first_byte = monotonic_clock::now() - asked_.received;
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -70,6 +70,9 @@
     [[nodiscard]] bool may_run_again() const;
     [[nodiscard]] duration silence_limit(
         const serving::chosen_upstream& target) const;
+    void begin_attempt(const upstream_id& id, duration reading);
+    /// The attempt's answer began, or there will be none.
+    void prompt_read();
     void end_attempt(
         const serving::chosen_upstream& target,
         const serving::attempt_end& how);
@@ -88,6 +91,13 @@
     bool head_sent_ = false;
     /// When the attempt under way is given up without a word.
     mono_time silent_at_;
+    struct unread_prompt
+    {
+        upstream_id at;
+        duration reading{};
+    };
+    /// Of the attempt under way, until its answer begins.
+    std::optional<unread_prompt> unread_;
     serving::event_splitter events_;
     std::shared_ptr<http::call_control> control_;
 };
--- a/src/serving/cache_plan.hpp
+++ b/src/serving/cache_plan.hpp
@@ -28,6 +28,8 @@
     /// By the upstreams' clock in ms; a fetch that has not ended by then is
     /// thrown away. Set when any part is fetched.
     std::int64_t fetch_until_ms = 0;
+    /// Tokens that the upstream has to read, as far as can be told.
+    token_count unread;
 };
 
 } // namespace wagtailseam::serving
--- a/src/serving/cache_view.cpp
+++ b/src/serving/cache_view.cpp
@@ -329,7 +329,14 @@
             made.parts[at].fetch_from = held_at->store.address;
             fetches = true;
         }
+        // Every engine holds what is used all the time.
+        else if (!hot)
+        {
+            made.unread += asked.tokens;
+        }
     }
+    made.unread +=
+        wanted.parts.empty() ? token_count{} : wanted.parts.back().tokens;
     if (fetches)
     {
         const auto limit = static_cast<duration::rep>(
--- a/src/serving/test/upstream_book_test.cpp
+++ b/src/serving/test/upstream_book_test.cpp
@@ -65,7 +65,7 @@
 
     void end(const std::string& id, const attempt_end& how)
     {
-        book_.begin(upstream_id{id});
+        book_.begin(upstream_id{id}, duration{});
         book_.end(upstream_id{id}, how, now_);
     }
 
@@ -123,7 +123,7 @@
     EXPECT_EQ(chosen(query()), "none");
     now_ += milliseconds(401);
     ASSERT_EQ(chosen(query()), "a");
-    book_.begin(upstream_id{"a"});
+    book_.begin(upstream_id{"a"}, duration{});
     EXPECT_EQ(chosen(query()), "none");
     book_.end(upstream_id{"a"}, answered{}, now_);
     EXPECT_EQ(chosen(query()), "a");
@@ -210,13 +210,56 @@
     say("b", 0);
     for (int at = 0; at < 4; ++at)
     {
-        book_.begin(upstream_id{"a"});
+        book_.begin(upstream_id{"a"}, duration{});
     }
     EXPECT_EQ(share_of("b"), 200);
     say("a", 0);
     EXPECT_GT(share_of("a"), 50);
 }
 
+TEST_F(upstream_book_fixture, work_that_others_just_sent_counts_before_reports)
+{
+    // Forty entries with the same report, a hundred ms old, would all choose
+    // the engine that was idle then.
+    list("a");
+    list("b");
+    say("a", 0);
+    book_.take_load(
+        upstream_id{"b"},
+        {.prompts_waiting = 3,
+         .unread_of_others =
+             unread_work{.prompts = 1, .reading = milliseconds(9)}},
+        now_);
+    book_.take_load(
+        upstream_id{"a"},
+        {.prompts_waiting = 0,
+         .unread_of_others =
+             unread_work{.prompts = 1, .reading = milliseconds(100)}},
+        now_);
+    EXPECT_EQ(share_of("b"), 200);
+}
+
+TEST_F(
+    upstream_book_fixture, own_unread_prompts_count_until_their_answers_begin)
+{
+    list("a");
+    list("b");
+    const upstream_id a{"a"};
+    for (const auto* id : {"a", "b"})
+    {
+        book_.take_load(
+            upstream_id{id}, {.unread_of_others = unread_work{}}, now_);
+    }
+    book_.begin(a, milliseconds(100));
+    // Words that left before the send do not know of it.
+    book_.take_load(a, {.unread_of_others = unread_work{}}, now_);
+    EXPECT_EQ(share_of("b"), 200);
+    EXPECT_EQ(book_.own_unread(a).prompts, 1U);
+    book_.prompt_read(a, milliseconds(100));
+    EXPECT_GT(share_of("a"), 50);
+    EXPECT_TRUE(book_.with_own_unread().empty());
+}
+
 TEST_F(upstream_book_fixture, loading_engine_gets_nothing_until_it_is_back)
 {
     list("a");
@@ -336,14 +379,14 @@
             draining[id] = true;
             break;
         case 2:
-            book.begin(id);
+            book.begin(id, duration{});
             book.end(id, connect_failed{}, now);
             break;
         case 3:
             book.take_load(id, {.prompts_waiting = step}, now);
             break;
         case 4:
-            book.begin(id);
+            book.begin(id, duration{});
             book.end(id, answered{}, now);
             break;
         default:
--- a/src/serving/upstream.hpp
+++ b/src/serving/upstream.hpp
@@ -2,6 +2,7 @@
 #ifndef WAGTAILSEAM_SERVING_UPSTREAM_HPP
 #define WAGTAILSEAM_SERVING_UPSTREAM_HPP
 
+#include "core/clock.hpp"
 #include "http/message.hpp"
 #include "serving/ids.hpp"
 
@@ -30,6 +31,16 @@
     friend bool operator==(const upstream&, const upstream&) = default;
 };
 
+/// Prompts that were sent to an engine and are not read yet.
+struct unread_work
+{
+    std::uint32_t prompts = 0;
+    /// Time that an engine takes to read them, as estimated.
+    duration reading{};
+
+    friend bool operator==(const unread_work&, const unread_work&) = default;
+};
+
 } // namespace wagtailseam::serving
 
 #endif
--- a/src/serving/upstream_book.cpp
+++ b/src/serving/upstream_book.cpp
@@ -152,6 +152,11 @@
     {
         return options_.wait_per_request * of.in_flight;
     }
+    if (of.load.unread_of_others)
+    {
+        return of.load.unread_of_others->reading + of.own_unread.reading +
+               options_.wait_per_run * of.load.running;
+    }
     return options_.wait_per_prompt * prompts_waiting(of, now) +
            options_.wait_per_run * of.load.running;
 }
@@ -159,8 +164,15 @@
 std::uint32_t upstream_book::prompts_waiting(
     const known_upstream& of, mono_time now) const
 {
-    return load_known(of, now) ? of.load.prompts_waiting + of.sent_since
-                               : of.in_flight;
+    if (!load_known(of, now))
+    {
+        return of.in_flight;
+    }
+    if (of.load.unread_of_others)
+    {
+        return of.load.unread_of_others->prompts + of.own_unread.prompts;
+    }
+    return of.load.prompts_waiting + of.sent_since;
 }
 
 void upstream_book::take_load(
@@ -242,8 +254,11 @@
         }
         // Entries with the same word on the load would all choose the same
         // upstream; this spreads them over those that are about as good.
-        const duration noise(static_cast<duration::rep>(random.below(
-            static_cast<std::uint64_t>(options_.wait_per_prompt.count()))));
+        const duration spread = of.load.unread_of_others
+                                    ? options_.spread
+                                    : options_.wait_per_prompt;
+        const duration noise(static_cast<duration::rep>(
+            random.below(static_cast<std::uint64_t>(spread.count()))));
         const auto home = routing::rendezvous_weight(
             wanted.home_key, routing::stable_hash(id.value()));
         candidates.push_back({&of, cost(of, wanted, now) + noise, home});
@@ -299,14 +314,48 @@
     return has_left(found->second, now);
 }
 
-void upstream_book::begin(const upstream_id& id)
+void upstream_book::begin(const upstream_id& id, duration reading)
 {
     const auto found = known_.find(id);
     if (found != known_.end())
     {
-        ++found->second.in_flight;
-        ++found->second.sent_since;
+        auto& of = found->second;
+        ++of.in_flight;
+        ++of.sent_since;
+        ++of.own_unread.prompts;
+        of.own_unread.reading += reading;
+    }
+}
+
+void upstream_book::prompt_read(const upstream_id& id, duration reading)
+{
+    const auto found = known_.find(id);
+    // It may have been listed anew since it began.
+    if (found != known_.end() && found->second.own_unread.prompts > 0)
+    {
+        auto& own = found->second.own_unread;
+        --own.prompts;
+        own.reading = std::max(duration::zero(), own.reading - reading);
+    }
+}
+
+unread_work upstream_book::own_unread(const upstream_id& id) const
+{
+    const auto found = known_.find(id);
+    return found == known_.end() ? unread_work{} : found->second.own_unread;
+}
+
+std::vector<upstream_id> upstream_book::with_own_unread() const
+{
+    std::vector<upstream_id> ids;
+    for (const auto& [id, of] : known_)
+    {
+        if (of.own_unread.prompts > 0)
+        {
+            ids.push_back(id);
+        }
     }
+    return ids;
 }
 
 void upstream_book::end(
--- a/src/serving/upstream_book.hpp
+++ b/src/serving/upstream_book.hpp
@@ -80,6 +80,9 @@
     /// Takes no request until it has loaded weights.
     bool loading = false;
     std::map<model_id, weight_version> weights;
+    /// What other gateways have there, by their own word, which is some ten ms
+    /// old. Nothing: the engine's report has to do, which is much older.
+    std::optional<unread_work> unread_of_others;
 };
 
 struct upstream_book_options
@@ -103,6 +106,10 @@
     /// Expected wait behind a prompt that is not read yet: a mean one takes
     /// some ten milliseconds, a long one without cache a hundred.
     duration wait_per_prompt = std::chrono::milliseconds(60);
+    /// Differences of cost below this do not count where gateways tell each
+    /// other what they have at an engine: what they send within the age of
+    /// that word.
+    duration spread = std::chrono::milliseconds(15);
     /// Slowing by each request that makes tokens.
     duration wait_per_run = std::chrono::milliseconds(2);
     /// A word on an engine's load counts for this time.
@@ -189,7 +196,15 @@
     /// Whether the upstream leaves, or has left, so that it takes no new work.
     [[nodiscard]] bool leaves(const upstream_id& id, mono_time now) const;
 
-    void begin(const upstream_id& id);
+    /// @param reading time that the engine takes to read the prompt
+    void begin(const upstream_id& id, duration reading);
+    /// The first byte of an attempt's answer came, or the attempt ended
+    /// without one: its prompt, given with begin, is not unread any more.
+    void prompt_read(const upstream_id& id, duration reading);
+    /// Returns what this process has at an upstream.
+    [[nodiscard]] unread_work own_unread(const upstream_id& id) const;
+    /// Returns the upstreams at which this process has unread prompts.
+    [[nodiscard]] std::vector<upstream_id> with_own_unread() const;
     /// Takes the end of an attempt that began.
     void end(const upstream_id& id, const attempt_end& how, mono_time now);
     /// Notes experience while the attempt goes on.
@@ -213,6 +228,7 @@
         std::optional<mono_time> load_heard;
         /// Sent by this entry after that.
         std::uint32_t sent_since = 0;
+        unread_work own_unread;
         /// At `failures_at`; decays from then on. Within [0, 1].
         double failure_share = 0;
         mono_time failures_at;
