--- a/src/gateway/request_record.cpp
+++ b/src/gateway/request_record.cpp
@@ -8,11 +8,6 @@
 namespace
 {
 
-double seconds(duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
 std::string version_text(const std::optional<weight_version>& version)
 {
     return version ? std::to_string(version->value()) : "none";
@@ -60,12 +55,16 @@
     const duration took = now - asked.received;
     known.metrics.count(
         "wagtail_requests_total", "status", std::to_string(record.status));
-    known.metrics.observe("wagtail_request_seconds", seconds(took));
+    const std::string_view route =
+        asked.route != nullptr ? std::string_view(asked.route->name) : "none";
+    known.metrics.observe_time("wagtail_request_seconds", "route", route, took);
     if (record.first_byte)
     {
-        known.metrics.observe(
-            "wagtail_first_byte_seconds", seconds(*record.first_byte));
+        known.metrics.observe_time(
+            "wagtail_first_byte_seconds", "route", route, *record.first_byte);
     }
+    known.metrics.observe_time(
+        "wagtail_expected_wait_seconds", "route", route, record.expected_wait);
     const bool served_at_once =
         record.code == result_code::ok && record.sent == 1;
     const auto left_out = served_at_once ? known.served_lines.take(now)
--- a/src/telemetry/counters.cpp
+++ b/src/telemetry/counters.cpp
@@ -6,9 +6,11 @@
 #include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
 
 #include <array>
 #include <fmt/format.h>
+#include <vector>
 
 namespace wagtailseam::telemetry
 {
@@ -19,6 +21,16 @@
 
 constexpr std::array<double, 3> probabilities{0.5, 0.95, 0.99};
 
+namespace bh = boost::histogram;
+
+/// Ends of buckets in seconds: around the latency targets of 0.3 to 0.5 s.
+const std::vector<double> bucket_ends{0,   0.005, 0.01, 0.025, 0.05, 0.1,
+                                      0.2, 0.3,   0.4,  0.5,   0.75, 1,
+                                      1.5, 2,     4,    8,     15,   30};
+
+using time_buckets = decltype(bh::make_histogram(
+    bh::axis::variable<>(bucket_ends.begin(), bucket_ends.end())));
+
 } // namespace
 
 struct metrics::distribution
@@ -29,6 +41,14 @@
         samples{acc::extended_p_square_probabilities = probabilities};
 };
 
+struct metrics::time_histogram
+{
+    time_buckets buckets = bh::make_histogram(
+        bh::axis::variable<>(bucket_ends.begin(), bucket_ends.end()));
+    double sum_s = 0;
+    std::uint64_t count = 0;
+};
+
 metrics::metrics() = default;
 metrics::~metrics() = default;
 
@@ -83,6 +103,21 @@
     found->second->samples(sample);
 }
 
+void metrics::observe_time(
+    std::string_view family, std::string_view label, std::string_view value,
+    std::chrono::duration<double> time)
+{
+    auto& held = histograms_[{
+        std::string(family), std::string(label), std::string(value)}];
+    if (!held)
+    {
+        held = std::make_unique<time_histogram>();
+    }
+    held->buckets(time.count());
+    held->sum_s += time.count();
+    ++held->count;
+}
+
 std::uint64_t metrics::counter(
     std::string_view family, std::string_view value) const
 {
@@ -137,6 +172,23 @@
         fmt::format_to(out, "{}_sum {}\n", family, acc::sum(samples));
         fmt::format_to(out, "{}_count {}\n", family, acc::count(samples));
     }
+    for (const auto& [key, held] : histograms_)
+    {
+        // Prometheus' buckets count all samples up to their end.
+        double up_to = 0;
+        for (int at = 0; at + 1 < std::ssize(bucket_ends); ++at)
+        {
+            up_to += held->buckets.at(at);
+            fmt::format_to(
+                out, "{}_bucket{{{}=\"{}\",le=\"{}\"}} {}\n", key.family,
+                key.label, key.value, bucket_ends[std::size_t(at) + 1], up_to);
+        }
+        fmt::format_to(
+            out,
+            "{0}_bucket{{{1}=\"{2}\",le=\"+Inf\"}} {3}\n"
+            "{0}_count{{{1}=\"{2}\"}} {3}\n{0}_sum{{{1}=\"{2}\"}} {4}\n",
+            key.family, key.label, key.value, held->count, held->sum_s);
+    }
     return text;
 }
 
--- a/src/telemetry/counters.hpp
+++ b/src/telemetry/counters.hpp
@@ -4,6 +4,7 @@
 
 #include "core/result_code.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -39,6 +40,12 @@
     /// Adds a sample to a distribution; the unit belongs into the name.
     void observe(std::string_view family, double sample);
 
+    /// Adds a time to the histogram `family{label="value"}`, whose buckets end
+    /// at 5 ms to 30 s.
+    void observe_time(
+        std::string_view family, std::string_view label, std::string_view value,
+        std::chrono::duration<double> time);
+
     /// Returns a counter's value, 0 when nothing was counted.
     [[nodiscard]] std::uint64_t counter(
         std::string_view family, std::string_view value = {}) const;
@@ -67,6 +74,8 @@
     std::map<std::string, double, std::less<>> gauges_;
     std::map<std::string, std::unique_ptr<distribution>, std::less<>>
         distributions_;
+    struct time_histogram;
+    std::map<counter_key, std::unique_ptr<time_histogram>> histograms_;
 };
 
 } // namespace wagtailseam::telemetry
--- a/src/telemetry/test/counters_test.cpp
+++ b/src/telemetry/test/counters_test.cpp
@@ -34,6 +34,25 @@
     EXPECT_NEAR(metrics_.quantile("wagtail_first_token_ms", 0.95), 950, 20);
 }
 
+TEST_F(counters_fixture, histogram_counts_all_times_up_to_a_buckets_end)
+{
+    for (const int ms : {4, 40, 400, 40'000})
+    {
+        metrics_.observe_time(
+            "wagtail_request_seconds", "route", "r",
+            std::chrono::milliseconds(ms));
+    }
+    const auto text = metrics_.prometheus_text();
+    const auto tells = [&](const std::string& line)
+    { return text.find(line + "\n") != std::string::npos; };
+    const std::string bucket = "wagtail_request_seconds_bucket{route=\"r\",le=";
+    EXPECT_TRUE(tells(bucket + "\"0.005\"} 1"));
+    EXPECT_TRUE(tells(bucket + "\"0.05\"} 2"));
+    EXPECT_TRUE(tells(bucket + "\"30\"} 3"));
+    EXPECT_TRUE(tells(bucket + "\"+Inf\"} 4"));
+    EXPECT_TRUE(tells("wagtail_request_seconds_count{route=\"r\"} 4"));
+}
+
 TEST_F(counters_fixture, quantile_without_samples_is_zero)
 {
     EXPECT_EQ(metrics_.quantile("wagtail_first_token_ms", 0.5), 0);
