--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -6,6 +6,7 @@
 #include "serving/cache_timing.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace wagtailseam::gateway
 {
@@ -44,6 +45,24 @@
     return sum;
 }
 
+/// The store that most of the fetched tokens come from.
+std::optional<http::address> main_source(
+    const serving::prompt& of, const serving::cache_plan& plan)
+{
+    std::map<http::address, token_count> tokens;
+    for (std::size_t at = 0; at < plan.parts.size(); ++at)
+    {
+        if (const auto& from = plan.parts[at].fetch_from)
+        {
+            tokens[*from] += of.parts[at].tokens;
+        }
+    }
+    const auto most = std::max_element(
+        tokens.begin(), tokens.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    return most == tokens.end() ? std::nullopt : std::optional(most->first);
+}
+
 /// The key of the longest part that other requests may share; 0 without one.
 std::uint64_t home_key_of(const serving::call& asked)
 {
@@ -178,6 +197,8 @@
         notes.weights = planned.weights;
         notes.cache = plan_cache(known, asked, target, planned.weights);
         planned.reading = reading_time(notes.cache->unread);
+        planned.fetched_from =
+            main_source(*asked.call.asked_prompt, *notes.cache);
         for (const auto& part : notes.cache->parts)
         {
             planned.fetched_parts += part.fetch_from ? 1U : 0U;
--- a/src/gateway/dispatch_plan.hpp
+++ b/src/gateway/dispatch_plan.hpp
@@ -50,6 +50,8 @@
     std::optional<weight_version> named_weights;
     /// Until the upstream has read the prompt, once it turns to it.
     duration reading{};
+    /// The store that most of the fetched tokens come from.
+    std::optional<http::address> fetched_from;
     std::size_t fetched_parts = 0;
     std::size_t saved_parts = 0;
 };
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -265,27 +265,43 @@
         .control = control_};
 }
 
-void request_run::begin_attempt(const upstream_id& id, duration reading)
+void request_run::begin_attempt(
+    const serving::chosen_upstream& target, const planned_dispatch& planned)
 {
-    known_.upstreams.begin(id, reading);
-    unread_ = unread_prompt{.at = id, .reading = reading};
+    const auto& id = target.entry.id;
+    known_.upstreams.begin(id, planned.reading);
+    unread_ = unread_prompt{
+        .at = id,
+        .reading = planned.reading,
+        .sent = monotonic_clock::now(),
+        .expected_wait = target.expected_wait,
+        .fetched_from = planned.fetched_from};
     known_.unread_changed(id);
 }
 
-void request_run::prompt_read()
+void request_run::prompt_read(bool answered)
 {
-    if (unread_)
+    if (!unread_)
     {
-        known_.upstreams.prompt_read(unread_->at, unread_->reading);
-        known_.unread_changed(unread_->at);
-        unread_.reset();
+        return;
     }
+    known_.upstreams.prompt_read(unread_->at, unread_->reading);
+    known_.unread_changed(unread_->at);
+    if (answered && asked_.call.asked_prompt)
+    {
+        const auto now = monotonic_clock::now();
+        known_.caches.note_first_byte(
+            unread_->fetched_from,
+            now - unread_->sent - unread_->expected_wait - unread_->reading,
+            asked_.route->latency_target, now);
+    }
+    unread_.reset();
 }
 
 void request_run::end_attempt(
     const serving::chosen_upstream& target, const serving::attempt_end& how)
 {
-    prompt_read();
+    prompt_read(false);
     record_.last_end = serving::name(how);
     known_.upstreams.end(target.entry.id, how, monotonic_clock::now());
     known_.metrics.count("wagtail_attempts_total", "end", record_.last_end);
@@ -321,7 +337,7 @@
     record_.fetched_parts = planned.fetched_parts;
     record_.saved_parts = planned.saved_parts;
     const auto options = options_for(target);
-    begin_attempt(target.entry.id, planned.reading);
+    begin_attempt(target, planned);
     // A silent upstream is avoided by others before this request ends.
     asio::steady_timer overdue(
         co_await asio::this_coro::executor,
@@ -426,7 +442,7 @@
 
 asio::awaitable<void> request_run::begin_answer(const http::response& received)
 {
-    prompt_read();
+    prompt_read(true);
     if (!record_.first_byte)
     {
         record_.first_byte = monotonic_clock::now() - asked_.received;
--- a/src/gateway/request_run.hpp
+++ b/src/gateway/request_run.hpp
@@ -70,9 +70,11 @@
     [[nodiscard]] bool may_run_again() const;
     [[nodiscard]] duration silence_limit(
         const serving::chosen_upstream& target) const;
-    void begin_attempt(const upstream_id& id, duration reading);
+    void begin_attempt(
+        const serving::chosen_upstream& target,
+        const planned_dispatch& planned);
     /// The attempt's answer began, or there will be none.
-    void prompt_read();
+    void prompt_read(bool answered);
     void end_attempt(
         const serving::chosen_upstream& target,
         const serving::attempt_end& how);
@@ -95,6 +97,9 @@
     {
         upstream_id at;
         duration reading{};
+        mono_time sent;
+        duration expected_wait{};
+        std::optional<http::address> fetched_from;
     };
     /// Of the attempt under way, until its answer begins.
     std::optional<unread_prompt> unread_;
--- a/src/serving/cache_view.cpp
+++ b/src/serving/cache_view.cpp
@@ -315,6 +315,16 @@
     made.parts.resize(wanted.parts.size());
     bool contiguous = true;
     bool fetches = false;
+    // One turn of a store covers all parts that this prompt has there.
+    std::map<http::address, bool> turns;
+    const auto takes_turn = [&](const http::address& store)
+    {
+        const auto known = turns.find(store);
+        return known != turns.end()
+                   ? known->second
+                   : turns.emplace(store, pace_.take_turn(store, now))
+                         .first->second;
+    };
     for (std::size_t at = 0; at + 1 < wanted.parts.size(); ++at)
     {
         const auto& asked = wanted.parts[at];
@@ -323,7 +333,8 @@
         const bool hot = count_use(asked.id, now);
         made.parts[at].save_to =
             keeper_for(part, asked.tokens, near, held_at, hot, now);
-        contiguous = contiguous && held_at != nullptr;
+        contiguous = contiguous && held_at != nullptr &&
+                     takes_turn(held_at->store.address);
         if (contiguous && clock_offset_ms_)
         {
             made.parts[at].fetch_from = held_at->store.address;
--- a/src/serving/cache_view.hpp
+++ b/src/serving/cache_view.hpp
@@ -8,6 +8,7 @@
 #include "serving/call.hpp"
 #include "serving/configuration.hpp"
 #include "serving/ids.hpp"
+#include "serving/store_pace.hpp"
 
 #include <cstdint>
 #include <map>
@@ -131,6 +132,14 @@
         const data_centre_id& near, duration latency_target,
         duration expected_wait, mono_time now);
 
+    /// Notes the first byte of a planned prompt; see store_pace.
+    void note_first_byte(
+        const std::optional<http::address>& fetched_from,
+        duration beyond_expected, duration latency_target, mono_time now)
+    {
+        pace_.note(fetched_from, beyond_expected, latency_target, now);
+    }
+
     [[nodiscard]] std::size_t parts_known() const noexcept;
 
 private:
@@ -184,6 +193,7 @@
         store_state& of, const kept_part& part, token_count tokens);
 
     cache_view_options options_;
+    store_pace pace_;
     std::vector<store_state> stores_;
     /// The upstreams' clock less this process's, in ms.
     std::optional<std::int64_t> clock_offset_ms_;
