--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -49,13 +49,13 @@
 constexpr std::size_t watchers_of_store = 2;
 /// Between two reads of the list of upstreams, and after a failed one. It is
 /// needed for ranks and for this engine's id alone.
-constexpr std::chrono::seconds list_interval{10};
+constexpr std::chrono::seconds list_interval{20};
 constexpr std::chrono::milliseconds list_retry{1000};
-constexpr std::chrono::seconds listener_poll{10};
+constexpr std::chrono::seconds listener_poll{20};
 /// All processes of a deployment announce themselves within seconds.
 constexpr std::chrono::seconds listener_gather{2};
-/// Half of the time in which all engines must have new weights.
-constexpr std::chrono::seconds operator_poll{4};
+/// Below the time in which all engines must have new weights.
+constexpr std::chrono::seconds operator_poll{6};
 constexpr std::chrono::milliseconds sweep_interval{500};
 constexpr std::chrono::milliseconds store_timeout{1500};
 constexpr std::chrono::milliseconds fencing_pause{400};
--- a/src/gateway/feeds.cpp
+++ b/src/gateway/feeds.cpp
@@ -48,10 +48,13 @@
 /// this long after its return.
 constexpr std::chrono::milliseconds relisting_time{2500};
 constexpr std::chrono::seconds unstable_time{3};
+/// Of the time after a disturbance, for the end of a poll on a connection that
+/// fell silent.
+constexpr std::chrono::milliseconds poll_margin{1000};
 /// The list of upstreams may be some seconds old: attempts and agents tell more
 /// and earlier. It changes with every order and heartbeat that matters, so
 /// changes are gathered.
-constexpr std::chrono::seconds upstream_poll{5};
+constexpr std::chrono::seconds upstream_poll{6};
 constexpr std::chrono::milliseconds upstream_gather{800};
 constexpr unsigned status_ok = 200;
 
@@ -65,8 +68,8 @@
       operator_table_(
           context, store_,
           {.table = platform::operator_table,
-           .take = [this](const auto& rows, bool)
-           { take_operator_rows(rows); }}),
+           .take = [this](const auto& rows, bool) { take_operator_rows(rows); },
+           .poll_wait = known.settings.bounds.contact - poll_margin}),
       upstream_table_(
           context, store_,
           {.table = platform::upstream_table,
