Poll a store that was away shortly, so that its return is not missed

Ruled out: the store's answer (it answered others), the gateway's processor. Agents take weights that other agents' engines run as named.

--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -148,9 +148,27 @@
     }
 }
 
-void app::take_operator_rows(const platform::row_set& rows)
+void app::take_weight_target(
+    const serving::weight_target& target, std::string_view source)
 {
     const auto now = monotonic_clock::now();
+    // An engine runs only weights that were named, so another engine's are
+    // news when the store's did not come through.
+    if (!turns_.name(target, now))
+    {
+        return;
+    }
+    sweep_.name(target, now);
+    telemetry::event("weights_named")
+        .with("model", target.model)
+        .with("version", target.version)
+        .with("source", source)
+        .with("turn_by_us", (turns_.latest_turn(now) - now).count())
+        .with("at_once", turns_.engines_at_once());
+}
+
+void app::take_operator_rows(const platform::row_set& rows)
+{
     for (auto& document : platform::decode_operator_rows(rows))
     {
         std::visit(
@@ -165,20 +183,8 @@
                         watch_stores();
                     }
                 },
-                [this, now](const serving::weight_target& target)
-                {
-                    if (turns_.name(target, now))
-                    {
-                        sweep_.name(target, now);
-                        telemetry::event("weights_named")
-                            .with("model", target.model)
-                            .with("version", target.version)
-                            .with(
-                                "turn_by_us",
-                                (turns_.latest_turn(now) - now).count())
-                            .with("at_once", turns_.engines_at_once());
-                    }
-                }},
+                [this](const serving::weight_target& target)
+                { take_weight_target(target, "store"); }},
             document);
     }
 }
@@ -235,6 +241,10 @@
         if (said && said.value().upstream != self_)
         {
             turns_.hear(said.value().upstream, said.value().weights);
+            for (const auto& [model, version] : said.value().weights)
+            {
+                take_weight_target({model, version}, "agent");
+            }
         }
     }
 }
--- a/src/agent/app.hpp
+++ b/src/agent/app.hpp
@@ -49,6 +49,8 @@
     asio::awaitable<void> hear_agents();
 
     void take_operator_rows(const platform::row_set& rows);
+    void take_weight_target(
+        const serving::weight_target& target, std::string_view source);
     void take_listener_rows(const platform::row_set& rows, bool whole_table);
     asio::awaitable<void> read_engine_list();
     void find_place();
--- a/src/gateway/feeds.cpp
+++ b/src/gateway/feeds.cpp
@@ -48,9 +48,9 @@
 /// this long after its return.
 constexpr std::chrono::milliseconds relisting_time{2500};
 constexpr std::chrono::seconds unstable_time{3};
-/// Of the time after a disturbance, for the end of a poll on a connection that
-/// fell silent.
-constexpr std::chrono::milliseconds poll_margin{1000};
+/// Of the time after a disturbance: the second after which a call on a silent
+/// connection is given up, the pause after it, and the call that succeeds.
+constexpr std::chrono::milliseconds poll_margin{1600};
 /// The list of upstreams may be some seconds old: attempts and agents tell more
 /// and earlier. It changes with every order and heartbeat that matters, so
 /// changes are gathered.
