--- a/src/agent/test/store_turn_test.cpp
+++ b/src/agent/test/store_turn_test.cpp
@@ -14,6 +14,7 @@
 std::vector<upstream_id> engines(int count)
 {
     std::vector<upstream_id> made;
+    made.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number)
     {
         made.emplace_back("e" + std::to_string(number));
--- a/src/gateway/feeds.cpp
+++ b/src/gateway/feeds.cpp
@@ -42,8 +42,6 @@
 /// Agents forget a claim that is not repeated within 1.3 s.
 constexpr std::chrono::milliseconds claim_interval{400};
 constexpr std::chrono::milliseconds cache_connect_timeout{300};
-/// Kept below the agreed time, for the way of requests already under way.
-constexpr std::chrono::milliseconds drain_margin{300};
 /// The list forgets live upstreams while the store is away, and has them back
 /// this long after its return.
 constexpr std::chrono::milliseconds relisting_time{2500};
@@ -55,7 +53,10 @@
 /// and earlier. It changes with every order and heartbeat that matters, so
 /// changes are gathered.
 constexpr std::chrono::seconds upstream_poll{6};
-constexpr std::chrono::milliseconds upstream_gather{800};
+constexpr std::chrono::milliseconds upstream_gather{400};
+/// Kept below the agreed time: a change waits for the gathering, and requests
+/// already under way arrive later.
+constexpr auto drain_margin = upstream_gather + std::chrono::milliseconds(300);
 constexpr unsigned status_ok = 200;
 
 } // namespace
