--- a/src/serving/configuration.hpp
+++ b/src/serving/configuration.hpp
@@ -72,8 +72,6 @@
     token_count capacity;
     /// Bytes a second of its link.
     byte_rate link_rate{1.0};
-    /// Polls for changes that it holds at once, of all processes together.
-    std::uint32_t max_polls = 1;
 };
 
 struct workspace
