Read cache stores, list engines and send words in one place each

The agent built the list of engines in three places and sent datagrams in two. What is told of a message (weights, parts) was copied field by field into the request's record. With no claims a word is encoded once, not for each gateway. No decision changes.

--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -3,6 +3,7 @@
 
 #include "agent/own_engine.hpp"
 #include "agent/store_turn.hpp"
+#include "cache_relay/store_calls.hpp"
 #include "core/overloaded.hpp"
 #include "http/endpoint.hpp"
 #include "platform/documents.hpp"
@@ -273,21 +274,27 @@
         now + (self_.value().empty() ? list_retry : list_interval);
 }
 
-void app::find_place()
+std::vector<upstream_id> app::engine_ids() const
 {
-    const auto before = std::exchange(
-        self_, find_own_engine(
-                   engines_, engine_address(settings_), engine_.started_ms));
     std::vector<upstream_id> ids;
+    ids.reserve(engines_.size());
     for (const auto& [id, entry] : engines_)
     {
         ids.push_back(id);
     }
+    return ids;
+}
+
+void app::find_place()
+{
+    const auto before = std::exchange(
+        self_, find_own_engine(
+                   engines_, engine_address(settings_), engine_.started_ms));
     if (self_ != before)
     {
         telemetry::event("engine_listed").with("upstream", self_);
     }
-    turns_.place(std::move(ids), self_);
+    turns_.place(engine_ids(), self_);
     watch_stores();
 }
 
@@ -298,11 +305,7 @@
         // Not listed for now: what it watched goes on, others watch as well.
         return;
     }
-    std::vector<upstream_id> ids;
-    for (const auto& [id, entry] : engines_)
-    {
-        ids.push_back(id);
-    }
+    const auto ids = engine_ids();
     std::vector<serving::cache_store> mine;
     for (const auto& store : cache_stores_)
     {
@@ -434,37 +437,42 @@
     {
         if (listener.role == to)
         {
-            // A datagram that cannot be sent is made up by the next one.
-            boost::system::error_code ignored;
-            words_.send_to(
-                asio::buffer(datagram), listener.address, 0, ignored);
+            send(datagram, listener.address);
         }
     }
 }
 
+void app::send(
+    const std::string& datagram, const asio::ip::udp::endpoint& address)
+{
+    // A datagram that cannot be sent is made up by the next one.
+    boost::system::error_code ignored;
+    words_.send_to(asio::buffer(datagram), address, 0, ignored);
+}
+
 void app::send_to_gateways()
 {
     const auto now = monotonic_clock::now();
+    if (!claims_.any(now))
+    {
+        send(
+            engine_status::encode(word_),
+            engine_status::listener_role::gateway);
+        return;
+    }
     const auto all = claims_.total(now);
-    const bool any = claims_.any(now);
     for (const auto& [vm, listener] : listeners_)
     {
         if (listener.role != engine_status::listener_role::gateway)
         {
             continue;
         }
+        const auto own = claims_.of(vm_id{vm}, now);
         auto word = word_;
-        if (any)
-        {
-            const auto own = claims_.of(vm_id{vm}, now);
-            word.unread_of_others = serving::unread_work{
-                .prompts = all.prompts - own.prompts,
-                .reading = all.reading - own.reading};
-        }
-        boost::system::error_code ignored;
-        words_.send_to(
-            asio::buffer(engine_status::encode(word)), listener.address, 0,
-            ignored);
+        word.unread_of_others = serving::unread_work{
+            .prompts = all.prompts - own.prompts,
+            .reading = all.reading - own.reading};
+        send(engine_status::encode(word), listener.address);
     }
 }
 
@@ -535,13 +543,8 @@
     {
         timer.expires_after(sweep_interval);
         co_await timer.async_wait(completion);
-        std::vector<upstream_id> ids;
-        for (const auto& [id, entry] : engines_)
-        {
-            ids.push_back(id);
-        }
-        const auto due =
-            sweep_.due(cache_stores_, ids, self_, monotonic_clock::now());
+        const auto due = sweep_.due(
+            cache_stores_, engine_ids(), self_, monotonic_clock::now());
         for (const auto& one : due)
         {
             co_await sweep(one);
@@ -552,12 +555,8 @@
 asio::awaitable<void> app::sweep(cache_sweep::due_sweep due)
 {
     const auto& store = due.store;
-    auto list_call = platform::cache_content_call();
-    const auto listed = co_await http_.fetch(
-        store.address, std::move(list_call), store_timeout);
     const auto content =
-        listed ? platform::decode_cache_content(listed.value().body)
-               : result<serving::cache_content>(fail(listed.error().code));
+        co_await cache_relay::read_content(http_, store, store_timeout);
     if (!content)
     {
         telemetry::event("cache_sweep_failed")
--- a/src/agent/app.hpp
+++ b/src/agent/app.hpp
@@ -54,8 +54,11 @@
     void take_listener_rows(const platform::row_set& rows, bool whole_table);
     asio::awaitable<void> read_engine_list();
     void find_place();
+    [[nodiscard]] std::vector<upstream_id> engine_ids() const;
     void tell_others(bool loading);
     void send(const std::string& datagram, engine_status::listener_role to);
+    void send(
+        const std::string& datagram, const asio::ip::udp::endpoint& address);
     /// Tells every gateway of the engine and of what the others have there.
     void send_to_gateways();
     void take_claim(std::string_view datagram);
--- a/src/agent/cache_watch.cpp
+++ b/src/agent/cache_watch.cpp
@@ -1,8 +1,7 @@
 // One loop for each store watched.
 #include "agent/cache_watch.hpp"
 
-#include "platform/documents.hpp"
-#include "platform/request_codec.hpp"
+#include "cache_relay/store_calls.hpp"
 #include "telemetry/event_log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -26,7 +25,6 @@
 constexpr std::chrono::milliseconds gather{150};
 constexpr std::chrono::milliseconds connect_timeout{300};
 constexpr std::chrono::milliseconds retry_pause{200};
-constexpr unsigned status_ok = 200;
 
 } // namespace
 
@@ -91,20 +89,10 @@
 asio::awaitable<bool> cache_watch::poll(
     const serving::cache_store& store, position& at)
 {
-    auto asked = platform::cache_changes_call(at.next, poll_wait);
-    const auto answer =
-        co_await http_.fetch(store.address, std::move(asked), poll_timeout);
-    if (!answer || answer.value().status != status_ok)
-    {
-        co_return false;
-    }
-    auto read = platform::decode_cache_changes(answer.value().body, at.next);
+    auto read = co_await cache_relay::read_changes(
+        http_, store, at.next, poll_wait, poll_timeout);
     if (!read)
     {
-        telemetry::event("cache_changes_malformed")
-            .with("store", store.service)
-            .with("detail", read.error().detail)
-            .warning();
         co_return false;
     }
     auto& said = read.value();
--- a/src/cache_relay/slice.cmake
+++ b/src/cache_relay/slice.cmake
@@ -1,1 +1,1 @@
-wagtail_slice(cache_relay DEPENDS wagtail_core wagtail_serving)
+wagtail_slice(cache_relay DEPENDS wagtail_core wagtail_serving wagtail_platform wagtail_http wagtail_telemetry)
--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -194,19 +194,19 @@
         if (const auto* const named =
                 named_target(known, asked.call.asked_prompt->model))
         {
-            planned.named_weights = named->version;
+            planned.facts.named_weights = named->version;
         }
-        planned.weights =
-            target.weights ? target.weights : planned.named_weights;
-        notes.weights = planned.weights;
-        notes.cache = plan_cache(known, asked, target, planned.weights);
+        planned.facts.weights =
+            target.weights ? target.weights : planned.facts.named_weights;
+        notes.weights = planned.facts.weights;
+        notes.cache = plan_cache(known, asked, target, planned.facts.weights);
         planned.reading = reading_time(notes.cache->unread);
         planned.fetched_from =
             main_source(*asked.call.asked_prompt, *notes.cache);
         for (const auto& part : notes.cache->parts)
         {
-            planned.fetched_parts += part.fetch_from ? 1U : 0U;
-            planned.saved_parts += part.save_to ? 1U : 0U;
+            planned.facts.fetched_parts += part.fetch_from ? 1U : 0U;
+            planned.facts.saved_parts += part.save_to ? 1U : 0U;
         }
     }
     planned.message = platform::encode_dispatch(asked.call, notes);
--- a/src/gateway/dispatch_plan.hpp
+++ b/src/gateway/dispatch_plan.hpp
@@ -42,18 +42,24 @@
     const knowledge& known, const accepted_request& asked,
     const std::set<upstream_id>& tried, bool may_be_refused);
 
-struct planned_dispatch
+/// What is told of a message to an upstream.
+struct dispatch_facts
 {
-    http::request message;
     /// Weights that the upstream is expected to run, and the operator's.
     std::optional<weight_version> weights;
     std::optional<weight_version> named_weights;
+    std::size_t fetched_parts = 0;
+    std::size_t saved_parts = 0;
+};
+
+struct planned_dispatch
+{
+    http::request message;
+    dispatch_facts facts;
     /// Until the upstream has read the prompt, once it turns to it.
     duration reading{};
     /// The store that most of the fetched tokens come from.
     std::optional<http::address> fetched_from;
-    std::size_t fetched_parts = 0;
-    std::size_t saved_parts = 0;
 };
 
 /// Plans the message to an upstream.
--- a/src/gateway/feeds.cpp
+++ b/src/gateway/feeds.cpp
@@ -2,12 +2,12 @@
 #include "gateway/feeds.hpp"
 
 #include "cache_relay/notice.hpp"
+#include "cache_relay/store_calls.hpp"
 #include "core/overloaded.hpp"
 #include "engine_status/claim.hpp"
 #include "engine_status/listener.hpp"
 #include "engine_status/status.hpp"
 #include "platform/documents.hpp"
-#include "platform/request_codec.hpp"
 #include "telemetry/event_log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -56,7 +56,6 @@
 /// Kept below the agreed time: a change waits for the gathering, and requests
 /// already under way arrive later.
 constexpr auto drain_margin = upstream_gather + std::chrono::milliseconds(300);
-constexpr unsigned status_ok = 200;
 
 } // namespace
 
@@ -384,28 +383,22 @@
     const serving::cache_store& store, duration wait)
 {
     const auto after = known_.caches.next_change(store.service);
-    auto asked = platform::cache_changes_call(after, wait);
-    const auto answer =
-        co_await caches_.fetch(store.address, std::move(asked), cache_timeout);
-    if (!answer || answer.value().status != status_ok)
+    const auto read = co_await cache_relay::read_changes(
+        caches_, store, after, wait, cache_timeout);
+    if (!read)
     {
-        known_.metrics.count("wagtail_cache_store_failures_total");
-        if (!answer)
+        const auto code = read.error().code;
+        if (code != result_code::malformed_json)
+        {
+            known_.metrics.count("wagtail_cache_store_failures_total");
+        }
+        if (code != result_code::malformed_json &&
+            code != result_code::upstream_refused)
         {
             known_.caches.suspend(store.service);
         }
         co_return false;
     }
-    const auto read =
-        platform::decode_cache_changes(answer.value().body, after);
-    if (!read)
-    {
-        telemetry::event("cache_changes_malformed")
-            .with("store", store.service)
-            .with("detail", read.error().detail)
-            .warning();
-        co_return false;
-    }
     const auto lack =
         known_.caches.take(store.service, read.value(), monotonic_clock::now());
     if (lack != serving::cache_lack::content)
@@ -417,12 +410,8 @@
 
 asio::awaitable<bool> feeds::list_cache(const serving::cache_store& store)
 {
-    auto asked = platform::cache_content_call();
-    const auto answer =
-        co_await caches_.fetch(store.address, std::move(asked), cache_timeout);
     const auto read =
-        answer ? platform::decode_cache_content(answer.value().body)
-               : result<serving::cache_content>(fail(answer.error().code));
+        co_await cache_relay::read_content(caches_, store, cache_timeout);
     if (!read)
     {
         known_.caches.suspend(store.service);
--- a/src/gateway/request_record.cpp
+++ b/src/gateway/request_record.cpp
@@ -32,10 +32,10 @@
             "upstream",
             record.last_upstream ? record.last_upstream->value() : "none")
         .with("expected_wait_us", record.expected_wait.count())
-        .with("weights", version_text(record.weights))
-        .with("weights_named", version_text(record.named_weights))
-        .with("fetched_parts", record.fetched_parts)
-        .with("saved_parts", record.saved_parts)
+        .with("weights", version_text(record.dispatch.weights))
+        .with("weights_named", version_text(record.dispatch.named_weights))
+        .with("fetched_parts", record.dispatch.fetched_parts)
+        .with("saved_parts", record.dispatch.saved_parts)
         .with("took_us", took.count())
         .with("first_us", record.first_byte ? record.first_byte->count() : -1)
         .with(
--- a/src/gateway/request_record.hpp
+++ b/src/gateway/request_record.hpp
@@ -24,11 +24,8 @@
     std::optional<upstream_id> last_upstream;
     std::optional<duration> first_byte;
     duration expected_wait{};
-    // Of the last message.
-    std::optional<weight_version> weights;
-    std::optional<weight_version> named_weights;
-    std::size_t fetched_parts = 0;
-    std::size_t saved_parts = 0;
+    /// Of the last message.
+    dispatch_facts dispatch;
 };
 
 /// Writes the line, but for requests served at once beyond their budget of
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -332,10 +332,7 @@
         known_, asked_, target,
         events_.last_id().empty() ? asked_.call.last_event : events_.last_id());
     record_.expected_wait = target.expected_wait;
-    record_.weights = planned.weights;
-    record_.named_weights = planned.named_weights;
-    record_.fetched_parts = planned.fetched_parts;
-    record_.saved_parts = planned.saved_parts;
+    record_.dispatch = planned.facts;
     const auto options = options_for(target);
     begin_attempt(target, planned);
     // A silent upstream is avoided by others before this request ends.
