--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -153,6 +153,17 @@
 
 } // namespace
 
+const quarantine::request_fingerprint& accepted_request::fingerprint() const
+{
+    if (!fingerprint_)
+    {
+        fingerprint_ = quarantine::make_request_fingerprint(
+            workspace != nullptr ? workspace->id : workspace_id{},
+            call.message.target, call.message.body);
+    }
+    return *fingerprint_;
+}
+
 serving::upstream_query make_upstream_query(
     const shared_state& state, const accepted_request& request,
     const std::set<upstream_id>& tried, bool limit_queue_length)
--- a/src/gateway/dispatch_plan.hpp
+++ b/src/gateway/dispatch_plan.hpp
@@ -5,6 +5,7 @@
 
 #include "gateway/shared_state.hpp"
 #include "http/message.hpp"
+#include "quarantine/crash_record_cache.hpp"
 #include "serving/call.hpp"
 
 #include <cstddef>
@@ -33,6 +34,12 @@
     {
         return deadline - monotonic_clock::now();
     }
+    /// Returns the fingerprint of the request's content, which is computed
+    /// once.
+    [[nodiscard]] const quarantine::request_fingerprint& fingerprint() const;
+
+private:
+    mutable std::optional<quarantine::request_fingerprint> fingerprint_;
 };
 
 /// Returns the load balancer query for a request.
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -332,6 +332,8 @@
             .with("attempt", record_.dispatches)
             .with("upstream", target.entry.id)
             .with("end", record_.last_result)
+            .with("content", short_name(request_.fingerprint()))
+            .with("upstream_started_ms", target.entry.started_ms)
             .with("cost_us", target.cost.count())
             .with("in_flight", target.in_flight)
             .with(
--- a/src/gateway/slice.cmake
+++ b/src/gateway/slice.cmake
@@ -1,1 +1,1 @@
-wagtail_slice(gateway DEPENDS wagtail_cache_relay wagtail_engine_status wagtail_serving wagtail_platform wagtail_http wagtail_retry wagtail_runtime wagtail_telemetry)
+wagtail_slice(gateway DEPENDS wagtail_quarantine wagtail_cache_relay wagtail_engine_status wagtail_serving wagtail_platform wagtail_http wagtail_retry wagtail_runtime wagtail_telemetry)
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -339,7 +339,7 @@
                 .with("service", entry->service)
                 .with("address", entry->address)
                 .with("draining", entry->draining ? 1 : 0);
-            state_.upstreams.upsert(*entry);
+            handle_ended_processes(state_.upstreams.upsert(*entry));
         }
         else if (!row.value)
         {
@@ -359,11 +359,24 @@
     if (whole_table)
     {
         telemetry::event("upstreams_read").with("count", listed.size());
-        state_.upstreams.replace(listed, removal_grace_period(), now);
+        handle_ended_processes(
+            state_.upstreams.replace(listed, removal_grace_period(), now));
         state_.upstream_list_read = true;
     }
 }
 
+void state_updater::handle_ended_processes(
+    const std::vector<serving::upstream>& ended)
+{
+    for (const auto& entry : ended)
+    {
+        telemetry::event("upstream_process_ended")
+            .with("upstream", entry.id)
+            .with("started_ms", entry.started_ms)
+            .with("source", "list");
+    }
+}
+
 bool state_updater::receives_relayed_updates(const service_id& store) const
 {
     const auto last_update = last_relayed_update_.find(store);
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -19,6 +19,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace wagtailseam::gateway
 {
@@ -58,6 +59,8 @@
 
     void apply_operator_rows(const platform::row_set& rows);
     void apply_upstream_rows(const platform::row_set& rows, bool whole_table);
+    /// Handles the processes that a change of the list shows to have ended.
+    void handle_ended_processes(const std::vector<serving::upstream>& ended);
     void apply_configuration(serving::configuration received);
     void apply_weight_target(const serving::weight_target& received);
     /// Returns how long an upstream that is no longer listed remains in use.
--- a/src/quarantine/crash_record_cache.cpp
+++ b/src/quarantine/crash_record_cache.cpp
@@ -48,13 +48,30 @@
 
 } // namespace
 
-prompt_fingerprint make_prompt_fingerprint(
+request_fingerprint make_prompt_fingerprint(
     const workspace_id& workspace, const model_id& model, const digest& prompt)
 {
     const std::string text = length_prefixed(workspace.value()) +
                              length_prefixed(model.value()) +
                              std::string(prompt.view());
-    return prompt_fingerprint(sha256(text));
+    return request_fingerprint(sha256(text));
+}
+
+std::string short_name(const request_fingerprint& request)
+{
+    constexpr std::size_t logged_digits = 16;
+    return request.value().hex().substr(0, logged_digits);
+}
+
+request_fingerprint make_request_fingerprint(
+    const workspace_id& workspace, std::string_view target,
+    std::string_view body)
+{
+    sha256_stream hash;
+    hash.update(length_prefixed(workspace.value()));
+    hash.update(length_prefixed(target));
+    hash.update(body);
+    return request_fingerprint(hash.value());
 }
 
 crash_id make_crash_id(
@@ -126,7 +143,7 @@
 }
 
 bool crash_record_cache::merge(
-    const prompt_fingerprint& prompt, const crash_record& record)
+    const request_fingerprint& prompt, const crash_record& record)
 {
     const auto found = records_.find(prompt);
     if (found != records_.end())
@@ -135,30 +152,31 @@
     }
     if (records_.size() >= max_records_)
     {
-        evict_first_to_expire();
+        evict_least_significant();
     }
     records_.emplace(prompt, record);
     return true;
 }
 
-void crash_record_cache::evict_first_to_expire()
+void crash_record_cache::evict_least_significant()
 {
-    const auto first_to_expire = std::min_element(
+    const auto significance = [](const crash_record& record)
+    { return std::pair(record.uncleared_crash_count(), record.expires); };
+    records_.erase(std::min_element(
         records_.begin(), records_.end(),
-        [](const auto& a, const auto& b)
-        { return a.second.expires < b.second.expires; });
-    records_.erase(first_to_expire);
+        [&](const auto& a, const auto& b)
+        { return significance(a.second) < significance(b.second); }));
 }
 
 const crash_record* crash_record_cache::find(
-    const prompt_fingerprint& prompt) const
+    const request_fingerprint& prompt) const
 {
     const auto found = records_.find(prompt);
     return found == records_.end() ? nullptr : &found->second;
 }
 
 prompt_status crash_record_cache::check(
-    const prompt_fingerprint& prompt, wall_time now) const
+    const request_fingerprint& prompt, wall_time now) const
 {
     const crash_record* const record = find(prompt);
     if (record == nullptr || record->expires <= now)
--- a/src/quarantine/crash_record_cache.hpp
+++ b/src/quarantine/crash_record_cache.hpp
@@ -19,8 +19,9 @@
 namespace wagtailseam::quarantine
 {
 
-/// Identifies a prompt of a workspace and model without revealing its text.
-using prompt_fingerprint = strong_id<struct prompt_fingerprint_tag, digest>;
+/// Identifies the content of a request of a workspace without revealing it.
+/// Requests that repeat it under other ids have the same fingerprint.
+using request_fingerprint = strong_id<struct request_fingerprint_tag, digest>;
 
 /// Identifies the crash of one upstream process.
 using crash_id = strong_id<struct crash_tag>;
@@ -28,9 +29,20 @@
 /// Number of distinct uncleared crashes at which a prompt is quarantined.
 inline constexpr std::size_t crashes_to_quarantine = 2;
 
-[[nodiscard]] prompt_fingerprint make_prompt_fingerprint(
+[[nodiscard]] request_fingerprint make_prompt_fingerprint(
     const workspace_id& workspace, const model_id& model, const digest& prompt);
 
+/// Returns the first hexadecimal digits of a fingerprint, for logs.
+[[nodiscard]] std::string short_name(const request_fingerprint& request);
+
+/// Returns the fingerprint of an HTTP request.
+/// @param workspace empty for requests without credentials
+/// @param target path and query
+/// Complexity: linear in the size of the body.
+[[nodiscard]] request_fingerprint make_request_fingerprint(
+    const workspace_id& workspace, std::string_view target,
+    std::string_view body);
+
 /// Returns the id of the crash of an upstream process, which its sidecar
 /// numbers by start.
 [[nodiscard]] crash_id make_crash_id(
@@ -82,8 +94,10 @@
 /// Parses the value of a table row. Errors: malformed_message.
 [[nodiscard]] result<crash_record> decode(std::string_view value);
 
-/// Crash records by prompt fingerprint. When it holds max_records, a new record
-/// evicts the one that expires first. Lookups are logarithmic.
+/// Crash records by fingerprint. When it holds max_records, a new record evicts
+/// one of those with the fewest uncleared crashes, the one that expires first:
+/// many requests run beside one that crashes upstreams, and their records must
+/// not displace its own. Lookups are logarithmic.
 class crash_record_cache
 {
 public:
@@ -91,22 +105,25 @@
 
     /// Merges a record into the one kept for the prompt.
     /// @return whether the kept record changed
-    bool merge(const prompt_fingerprint& prompt, const crash_record& record);
+    bool merge(const request_fingerprint& prompt, const crash_record& record);
     /// Returns the record, or nullptr if there is none.
     [[nodiscard]] const crash_record* find(
-        const prompt_fingerprint& prompt) const;
+        const request_fingerprint& prompt) const;
     [[nodiscard]] prompt_status check(
-        const prompt_fingerprint& prompt, wall_time now) const;
+        const request_fingerprint& prompt, wall_time now) const;
     /// Removes records that have expired.
     void remove_expired(wall_time now);
     [[nodiscard]] std::size_t size() const noexcept { return records_.size(); }
+    /// Iterators over pairs of fingerprint and record, in ascending order.
+    [[nodiscard]] auto begin() const noexcept { return records_.begin(); }
+    [[nodiscard]] auto end() const noexcept { return records_.end(); }
 
 private:
-    void evict_first_to_expire();
+    void evict_least_significant();
 
     std::size_t max_records_;
     /// records_.size() <= max_records_.
-    std::map<prompt_fingerprint, crash_record> records_;
+    std::map<request_fingerprint, crash_record> records_;
 };
 
 } // namespace wagtailseam::quarantine
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace wagtailseam::serving
 {
@@ -48,14 +49,18 @@
 {
 }
 
-void load_balancer::replace(
+std::vector<upstream> load_balancer::replace(
     const std::vector<upstream>& listed, duration grace, mono_time now)
 {
     std::set<upstream_id> listed_ids;
+    std::vector<upstream> ended;
     for (const auto& entry : listed)
     {
         listed_ids.insert(entry.id);
-        upsert(entry);
+        auto predecessors = upsert(entry);
+        std::move(
+            predecessors.begin(), predecessors.end(),
+            std::back_inserter(ended));
     }
     for (auto& [id, state] : upstreams_)
     {
@@ -64,12 +69,18 @@
             state.removed_at = now + grace;
         }
     }
+    return ended;
 }
 
-void load_balancer::upsert(const upstream& listed)
+std::vector<upstream> load_balancer::upsert(const upstream& listed)
 {
-    remove_predecessors(listed);
+    auto ended = remove_predecessors(listed);
     auto& state = upstreams_[listed.id];
+    if (state.entry.started_ms != 0 &&
+        state.entry.started_ms < listed.started_ms)
+    {
+        ended.push_back(state.entry);
+    }
     // The list lags behind the reports of agents and upstreams; a weight
     // version never decreases.
     auto weights = std::move(state.entry.weights);
@@ -80,20 +91,24 @@
         current = std::max(current, version);
     }
     state.removed_at.reset();
+    return ended;
 }
 
-void load_balancer::remove_predecessors(const upstream& listed)
+std::vector<upstream> load_balancer::remove_predecessors(const upstream& listed)
 {
+    std::vector<upstream> removed;
     for (auto& [id, other] : upstreams_)
     {
         const bool predecessor = id != listed.id &&
                                  other.entry.address == listed.address &&
                                  other.entry.started_ms < listed.started_ms;
-        if (predecessor)
+        if (predecessor && other.removed_at != mono_time{})
         {
             other.removed_at = mono_time{};
+            removed.push_back(other.entry);
         }
     }
+    return removed;
 }
 
 void load_balancer::remove(const upstream_id& id, duration grace, mono_time now)
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -175,11 +175,14 @@
 
     /// Replaces the list. Upstreams missing from it are used for the grace
     /// period only.
-    void replace(
+    /// @return the entries of processes that have ended, as in upsert()
+    std::vector<upstream> replace(
         const std::vector<upstream>& listed, duration grace, mono_time now);
     /// Adds or updates an entry. Upstreams that ran earlier at its address are
     /// no longer used.
-    void upsert(const upstream& listed);
+    /// @return the entries of processes that have ended, because a later one
+    ///         runs at their address or under their id
+    std::vector<upstream> upsert(const upstream& listed);
     /// Removes an entry after the grace period, because the list loses live
     /// upstreams while the platform's row store is down.
     void remove(const upstream_id& id, duration grace, mono_time now);
@@ -251,7 +254,8 @@
 
     /// Removes upstreams that started earlier at the same address. Their
     /// processes have ended even if the list still contains them.
-    void remove_predecessors(const upstream& listed);
+    /// @return the entries removed by this call
+    std::vector<upstream> remove_predecessors(const upstream& listed);
     [[nodiscard]] static bool is_draining_or_removed(
         const upstream_state& state, mono_time now) noexcept;
     [[nodiscard]] bool is_available(
