--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -5,7 +5,6 @@
 #include "agent/store_rank.hpp"
 #include "cache_relay/store_requests.hpp"
 #include "core/overloaded.hpp"
-#include "http/endpoint.hpp"
 #include "platform/documents.hpp"
 #include "platform/engine_api.hpp"
 #include "platform/request_codec.hpp"
@@ -91,7 +90,7 @@
           context, row_store_,
           {.table = engine_status::listener_table,
            .on_rows = [this](const auto& rows, bool whole_table)
-           { apply_listener_rows(rows, whole_table); },
+           { listeners_.apply(rows, whole_table); },
            .poll_timeout = listener_poll_timeout,
            .batch_delay = listener_batch_delay}),
       http_(
@@ -196,38 +195,6 @@
     operator_table_read_ = true;
 }
 
-void app::apply_listener_rows(const platform::row_set& rows, bool whole_table)
-{
-    if (whole_table)
-    {
-        listeners_.clear();
-    }
-    for (const auto& row : rows.rows)
-    {
-        if (!row.value)
-        {
-            listeners_.erase(row.key);
-            continue;
-        }
-        const auto listener = engine_status::decode_listener(*row.value);
-        const auto address = listener ? http::parse_endpoint(listener->address)
-                                      : result<asio::ip::tcp::endpoint>(fail(
-                                            result_code::malformed_message));
-        if (!address)
-        {
-            telemetry::event("listener_row_ignored")
-                .with("row", row.key)
-                .warning();
-            continue;
-        }
-        listeners_.insert_or_assign(
-            row.key,
-            listener_endpoint{
-                .address = {address.value().address(), address.value().port()},
-                .role = listener->role});
-    }
-}
-
 asio::awaitable<void> app::receive_datagrams()
 {
     std::array<char, engine_status::max_datagram_bytes> buffer{};
@@ -430,7 +397,7 @@
             .with("prompts_waiting", status_.prompts_waiting)
             .with("running", status_.running)
             .with("loading", status_.loading ? 1 : 0)
-            .with("listeners", listeners_.size());
+            .with("listeners", listeners_.entries().size());
     }
     send_status_to_gateways();
     if (weights_changed || now - agents_updated_at_ >= agent_repeat_interval)
@@ -444,7 +411,7 @@
 
 void app::send(const std::string& datagram, engine_status::listener_role role)
 {
-    for (const auto& [vm, listener] : listeners_)
+    for (const auto& [vm, listener] : listeners_.entries())
     {
         if (listener.role == role)
         {
@@ -472,13 +439,13 @@
         return;
     }
     const auto total = prefill_reports_.total(now);
-    for (const auto& [vm, listener] : listeners_)
+    for (const auto& [vm, listener] : listeners_.entries())
     {
         if (listener.role != engine_status::listener_role::gateway)
         {
             continue;
         }
-        const auto receiver = prefill_reports_.from_gateway(vm_id{vm}, now);
+        const auto receiver = prefill_reports_.from_gateway(vm, now);
         auto status = status_;
         status.prefill_of_other_gateways = serving::pending_prefill{
             .prompts = total.prompts - receiver.prompts,
--- a/src/agent/app.hpp
+++ b/src/agent/app.hpp
@@ -7,6 +7,7 @@
 #include "agent/cache_sweep_scheduler.hpp"
 #include "agent/weight_load_scheduler.hpp"
 #include "engine_status/listener.hpp"
+#include "engine_status/listener_directory.hpp"
 #include "engine_status/prefill_report.hpp"
 #include "engine_status/status.hpp"
 #include "http/client.hpp"
@@ -58,7 +59,6 @@
     void apply_operator_rows(const platform::row_set& rows);
     void apply_weight_target(
         const serving::weight_target& target, std::string_view source);
-    void apply_listener_rows(const platform::row_set& rows, bool whole_table);
     asio::awaitable<void> refresh_engine_list();
     /// Looks up this engine's id and passes the engines to the schedulers.
     void update_own_id();
@@ -99,13 +99,8 @@
     engine_state engine_;
     bool engine_reachable_ = false;
     mono_time next_list_refresh_;
-    struct listener_endpoint
-    {
-        asio::ip::udp::endpoint address;
-        engine_status::listener_role role;
-    };
-    /// Receivers of this engine's status, by VM.
-    std::map<std::string, listener_endpoint> listeners_;
+    /// Receivers of this engine's status.
+    engine_status::listener_directory listeners_;
     /// The status that was sent last.
     engine_status::status status_;
     mono_time status_sent_at_;
--- /dev/null
+++ b/src/engine_status/listener_directory.hpp
@@ -0,0 +1,40 @@
+// The processes that receive datagrams, as the rows of the row store list them.
+#ifndef WAGTAILSEAM_ENGINE_STATUS_LISTENER_DIRECTORY_HPP
+#define WAGTAILSEAM_ENGINE_STATUS_LISTENER_DIRECTORY_HPP
+
+#include "engine_status/listener.hpp"
+#include "platform/row_store_client.hpp"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <cstddef>
+#include <map>
+
+namespace wagtailseam::engine_status
+{
+
+/// Not thread-safe.
+class listener_directory
+{
+public:
+    struct entry
+    {
+        boost::asio::ip::udp::endpoint address;
+        listener_role role = listener_role::gateway;
+    };
+
+    /// Applies the rows of `listener_table`. Logs and ignores invalid rows.
+    void apply(const platform::row_set& rows, bool whole_table);
+
+    [[nodiscard]] const std::map<vm_id, entry>& entries() const noexcept
+    {
+        return entries_;
+    }
+
+private:
+    std::map<vm_id, entry> entries_;
+};
+
+} // namespace wagtailseam::engine_status
+
+#endif
--- /dev/null
+++ b/src/gateway/crash_registry.hpp
@@ -0,0 +1,62 @@
+// What this gateway knows of requests that crash upstreams, from its own
+// attempts and from other gateways.
+#ifndef WAGTAILSEAM_GATEWAY_CRASH_REGISTRY_HPP
+#define WAGTAILSEAM_GATEWAY_CRASH_REGISTRY_HPP
+
+#include "quarantine/crash_attribution.hpp"
+#include "quarantine/request_quarantine.hpp"
+
+#include <functional>
+#include <string_view>
+
+namespace wagtailseam::gateway
+{
+
+/// Reads the clocks and logs each change that restricts a request. Not
+/// thread-safe.
+class crash_registry
+{
+public:
+    /// Records an attempt without a complete response that a crash of the
+    /// upstream's process would explain.
+    /// @return whether the process is known to have ended
+    bool record_broken_attempt(
+        const quarantine::upstream_process& process,
+        const quarantine::request_fingerprint& request);
+    /// @param source how the end was observed, for the log
+    void record_process_end(
+        const quarantine::upstream_process& process, std::string_view source);
+    void record_process_listed(const quarantine::upstream_process& process);
+    void record_completion(const quarantine::request_fingerprint& request);
+    /// Merges a report of another gateway or of the store.
+    void merge(const quarantine::crash_report& report, std::string_view source);
+
+    [[nodiscard]] quarantine::prompt_status check(
+        const quarantine::request_fingerprint& request) const;
+
+    [[nodiscard]] quarantine::request_quarantine& quarantine() noexcept
+    {
+        return quarantine_;
+    }
+    [[nodiscard]] const quarantine::request_quarantine& quarantine()
+        const noexcept
+    {
+        return quarantine_;
+    }
+    /// The callback is called when there are records to send to other gateways.
+    void on_unsent_records(std::function<void()> callback);
+
+private:
+    /// Logs the status of a request unless it is unrestricted.
+    void log_restriction(
+        const quarantine::request_fingerprint& request,
+        std::string_view source) const;
+
+    quarantine::crash_attribution attribution_;
+    quarantine::request_quarantine quarantine_;
+    std::function<void()> on_unsent_records_ = [] {};
+};
+
+} // namespace wagtailseam::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/quarantine_sync.cpp
@@ -0,0 +1,217 @@
+// Coroutines that send, repeat, read and write crash records.
+#include "gateway/quarantine_sync.hpp"
+
+#include "telemetry/event_log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace wagtailseam::gateway
+{
+namespace
+{
+
+constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
+
+constexpr std::chrono::milliseconds send_delay{10};
+constexpr std::chrono::milliseconds repeat_interval{500};
+/// Each gateway receives about this many repeated reports per interval,
+/// whatever the number of gateways.
+constexpr std::size_t repeat_receivers = 4;
+/// As many records as fit into one datagram.
+constexpr std::size_t repeated_records = 4;
+constexpr std::chrono::seconds read_retry_delay{1};
+constexpr std::chrono::seconds listener_poll_timeout{20};
+constexpr std::chrono::seconds listener_batch_delay{2};
+/// Stands between the fingerprint and the VM in the key of a row.
+constexpr char row_key_separator = '@';
+
+} // namespace
+
+quarantine_sync::quarantine_sync(
+    asio::io_context& context, shared_state& state,
+    platform::row_store_client& row_store, datagram_sender send)
+    : context_(context), state_(state), row_store_(row_store),
+      send_(std::move(send)),
+      listener_table_(
+          context, row_store_,
+          {.table = engine_status::listener_table,
+           .on_rows = [this](const auto& rows, bool whole_table)
+           { listeners_.apply(rows, whole_table); },
+           .poll_timeout = listener_poll_timeout,
+           .batch_delay = listener_batch_delay}),
+      send_timer_(context)
+{
+}
+
+void quarantine_sync::start()
+{
+    listener_table_.start();
+    state_.crashes.on_unsent_records([this] { schedule_send(); });
+    asio::co_spawn(context_, read_rows(), asio::detached);
+    asio::co_spawn(context_, repeat_records(), asio::detached);
+}
+
+void quarantine_sync::handle_datagram(std::string_view datagram)
+{
+    const auto reports = quarantine::decode_datagram(datagram);
+    if (!reports)
+    {
+        state_.metrics.count("wagtail_crash_reports_dropped_total");
+        return;
+    }
+    for (const auto& report : reports.value())
+    {
+        state_.crashes.merge(report, "gateway");
+    }
+}
+
+void quarantine_sync::schedule_send()
+{
+    if (std::exchange(send_scheduled_, true))
+    {
+        return;
+    }
+    send_timer_.expires_after(send_delay);
+    send_timer_.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            send_scheduled_ = false;
+            if (!error)
+            {
+                send(
+                    state_.crashes.quarantine().take_unsent(),
+                    listeners_.entries().size());
+            }
+        });
+}
+
+void quarantine_sync::send(
+    const std::vector<quarantine::crash_report>& reports,
+    std::size_t max_receivers)
+{
+    std::vector<asio::ip::udp::endpoint> receivers;
+    for (const auto& [vm, listener] : listeners_.entries())
+    {
+        if (listener.role == engine_status::listener_role::gateway &&
+            vm != state_.settings.vm)
+        {
+            receivers.push_back(listener.address);
+        }
+    }
+    for (std::size_t chosen = 0;
+         chosen < std::min(max_receivers, receivers.size()); ++chosen)
+    {
+        const auto other =
+            chosen + state_.random.below(receivers.size() - chosen);
+        std::swap(receivers[chosen], receivers[other]);
+    }
+    receivers.resize(std::min(max_receivers, receivers.size()));
+    for (const auto& datagram : quarantine::encode_datagrams(reports))
+    {
+        for (const auto& receiver : receivers)
+        {
+            send_(datagram, receiver);
+        }
+    }
+}
+
+asio::awaitable<void> quarantine_sync::repeat_records()
+{
+    asio::steady_timer timer(context_);
+    for (;;)
+    {
+        timer.expires_after(repeat_interval);
+        co_await timer.async_wait(completion);
+        auto& quarantine = state_.crashes.quarantine();
+        if (!quarantine.has_records())
+        {
+            continue;
+        }
+        quarantine.remove_expired(wall_clock::now());
+        send(quarantine.take_unsent(), listeners_.entries().size());
+        send(quarantine.next_repeated(repeated_records), repeat_receivers);
+        if (!writing_)
+        {
+            asio::co_spawn(context_, write_rows(), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> quarantine_sync::read_rows()
+{
+    asio::steady_timer timer(context_);
+    for (;;)
+    {
+        const auto rows = co_await row_store_.read_table(quarantine_table);
+        if (rows)
+        {
+            for (const auto& row : rows.value().rows)
+            {
+                const auto record = quarantine::decode(row.value.value_or(""));
+                const auto key = digest::from_hex(
+                    row.key.substr(0, row.key.find(row_key_separator)));
+                if (!record || key == digest{})
+                {
+                    telemetry::event("quarantine_row_ignored")
+                        .with("row", row.key)
+                        .warning();
+                    continue;
+                }
+                state_.crashes.merge(
+                    {quarantine::request_fingerprint(key), record.value()},
+                    "store");
+            }
+            telemetry::event("quarantine_read")
+                .with("rows", rows.value().rows.size());
+            co_return;
+        }
+        timer.expires_after(read_retry_delay);
+        co_await timer.async_wait(completion);
+    }
+}
+
+std::string quarantine_sync::make_row_key(
+    const quarantine::request_fingerprint& request) const
+{
+    return request.value().hex() + row_key_separator +
+           state_.settings.vm.value();
+}
+
+asio::awaitable<void> quarantine_sync::write_rows()
+{
+    auto& quarantine = state_.crashes.quarantine();
+    auto reports = quarantine.take_unwritten();
+    if (reports.empty())
+    {
+        co_return;
+    }
+    if (reports.size() > platform::max_transaction_rows)
+    {
+        const auto rest = reports.begin() + platform::max_transaction_rows;
+        quarantine.return_unwritten({rest, reports.end()});
+        reports.erase(rest, reports.end());
+    }
+    std::vector<platform::row_change> changes;
+    for (const auto& [request, record] : reports)
+    {
+        changes.push_back({make_row_key(request), encode(record)});
+    }
+    writing_ = true;
+    const auto written =
+        co_await row_store_.write(quarantine_table, std::move(changes));
+    writing_ = false;
+    if (!written)
+    {
+        quarantine.return_unwritten(reports);
+    }
+    telemetry::event("quarantine_written")
+        .with("rows", reports.size())
+        .with("outcome", written ? "written" : written.error().detail);
+}
+
+} // namespace wagtailseam::gateway
--- /dev/null
+++ b/src/gateway/quarantine_sync.hpp
@@ -0,0 +1,78 @@
+// Exchanges crash records with the other gateways and keeps those of several
+// crashes in the row store.
+#ifndef WAGTAILSEAM_GATEWAY_QUARANTINE_SYNC_HPP
+#define WAGTAILSEAM_GATEWAY_QUARANTINE_SYNC_HPP
+
+#include "engine_status/listener_directory.hpp"
+#include "gateway/shared_state.hpp"
+#include "platform/row_store_client.hpp"
+#include "platform/table_watcher.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wagtailseam::gateway
+{
+
+namespace asio = boost::asio;
+
+/// Table of the requests that were running during several crashes. Each gateway
+/// writes rows of its own, so that no write removes what another gateway knows.
+inline constexpr const char* quarantine_table = "quarantine";
+
+/// Records reach the other gateways by datagrams, also while the row store is
+/// unavailable: at once when they change, and again at intervals, which makes
+/// up for lost datagrams and informs restarted gateways. The store keeps them
+/// for the case that all gateways restart. Runs until the io_context stops.
+class quarantine_sync
+{
+public:
+    using datagram_sender = std::function<void(
+        const std::string& datagram, const asio::ip::udp::endpoint& receiver)>;
+
+    quarantine_sync(
+        asio::io_context& context, shared_state& state,
+        platform::row_store_client& row_store, datagram_sender send);
+    quarantine_sync(const quarantine_sync&) = delete;
+    quarantine_sync& operator=(const quarantine_sync&) = delete;
+
+    void start();
+    /// @pre quarantine::is_crash_report(datagram)
+    void handle_datagram(std::string_view datagram);
+
+private:
+    /// Sends changed records after a short delay, so that the requests of one
+    /// crash share datagrams.
+    void schedule_send();
+    /// Sends reports to at most `max_receivers` other gateways, chosen at
+    /// random.
+    void send(
+        const std::vector<quarantine::crash_report>& reports,
+        std::size_t max_receivers);
+    asio::awaitable<void> repeat_records();
+    [[nodiscard]] std::string make_row_key(
+        const quarantine::request_fingerprint& request) const;
+    asio::awaitable<void> read_rows();
+    asio::awaitable<void> write_rows();
+
+    asio::io_context& context_;
+    shared_state& state_;
+    platform::row_store_client& row_store_;
+    datagram_sender send_;
+    platform::table_watcher listener_table_;
+    engine_status::listener_directory listeners_;
+    asio::steady_timer send_timer_;
+    bool send_scheduled_ = false;
+    bool writing_ = false;
+};
+
+} // namespace wagtailseam::gateway
+
+#endif
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -1,6 +1,7 @@
 // Steps of a request, from its acceptance to its final response.
 #include "gateway/request_handler.hpp"
 
+#include "http/listener_probe.hpp"
 #include "telemetry/event_log.hpp"
 
 #include <boost/asio/experimental/as_tuple.hpp>
@@ -19,6 +20,9 @@
 /// A running VM accepts a connection within a few round trips between data
 /// centres. A VM without power does not reply.
 constexpr std::chrono::milliseconds connect_timeout{120};
+/// Time to find out whether a process listens at the address of an upstream
+/// that broke off a response. Retries wait for it.
+constexpr std::chrono::milliseconds listener_probe_timeout{50};
 /// Maximum number of dispatches per request, including refused ones.
 constexpr std::uint32_t max_dispatches = 4;
 /// Maximum number of waits per request for an upstream to become available.
@@ -100,6 +104,8 @@
     state_.retry_budget_for(request_.service).on_request();
     co_await run_attempts();
     record_request_end(state_, request_, record_);
+    co_await report_broken_attempt();
+    end_trial();
 }
 
 result<void> request_handler::accept_request()
@@ -168,6 +174,11 @@
             record_.code = result_code::deadline_passed;
             break;
         }
+        if (!check_quarantine())
+        {
+            record_.code = result_code::quarantined;
+            break;
+        }
         const auto selection = state_.upstreams.choose(
             make_upstream_query(
                 state_, request_, tried_upstreams_, record_.executions == 0),
@@ -207,12 +218,68 @@
         {
             break;
         }
+        co_await report_broken_attempt();
         state_.metrics.count(
             "wagtail_retries_total", "reason", record_.last_result);
     }
     co_await send_final_error();
 }
 
+bool request_handler::check_quarantine()
+{
+    end_trial();
+    if (!state_.crashes.quarantine().has_records())
+    {
+        return true;
+    }
+    const auto status = state_.crashes.check(request_.fingerprint());
+    if (const auto* const refusal =
+            std::get_if<quarantine::quarantined>(&status))
+    {
+        quarantined_until_ = refusal->until;
+        return false;
+    }
+    if (std::holds_alternative<quarantine::suspect>(status))
+    {
+        is_trial_ = true;
+        state_.crashes.quarantine().begin_trial(request_.fingerprint());
+    }
+    return true;
+}
+
+void request_handler::end_trial()
+{
+    if (std::exchange(is_trial_, false))
+    {
+        state_.crashes.quarantine().end_trial(request_.fingerprint());
+    }
+}
+
+asio::awaitable<void> request_handler::report_broken_attempt()
+{
+    const auto broken = std::exchange(broken_attempt_, std::nullopt);
+    if (!broken)
+    {
+        co_return;
+    }
+    const quarantine::upstream_process process{
+        broken->upstream.id, broken->upstream.started_ms};
+    const bool known_to_have_ended =
+        state_.crashes.record_broken_attempt(process, request_.fingerprint());
+    // A crashed process that does not even refuse connections is recognized
+    // when its successor is listed.
+    if (known_to_have_ended || broken->timed_out)
+    {
+        co_return;
+    }
+    const bool closed = co_await http::is_port_closed(
+        broken->upstream.address, listener_probe_timeout);
+    if (closed)
+    {
+        state_.crashes.record_process_end(process, "refused_connection");
+    }
+}
+
 asio::awaitable<bool> request_handler::wait_for_upstream()
 {
     const auto now = monotonic_clock::now();
@@ -385,6 +452,9 @@
     if (caller_disconnected_)
     {
         end_attempt(target, serving::abandoned{});
+        // The caller may have left because the upstream crashed silently.
+        broken_attempt_ =
+            broken_attempt{.upstream = target.entry, .timed_out = true};
         record_.code = result_code::caller_gone;
         return next_step::finished;
     }
@@ -401,6 +471,8 @@
         target, timed_out
                     ? serving::attempt_result(serving::response_timed_out{})
                     : serving::attempt_result(serving::response_failed{}));
+    broken_attempt_ =
+        broken_attempt{.upstream = target.entry, .timed_out = timed_out};
     record_.code = deadline_passed ? result_code::deadline_passed
                                    : result_code::outcome_unknown;
     return may_retry() ? next_step::retry : next_step::give_up;
@@ -512,6 +584,10 @@
     {
         end_attempt(target, serving::answered{});
         record_.code = result_code::ok;
+        if (state_.crashes.quarantine().has_records())
+        {
+            state_.crashes.record_completion(request_.fingerprint());
+        }
         co_return;
     }
     end_attempt(target, serving::response_failed{});
@@ -522,6 +598,9 @@
     const serving::chosen_upstream& target)
 {
     end_attempt(target, serving::response_failed{});
+    broken_attempt_ = broken_attempt{
+        .upstream = target.entry,
+        .timed_out = request_.time_left() <= duration::zero()};
     record_.code = request_.time_left() <= duration::zero()
                        ? result_code::deadline_passed
                        : result_code::stream_broken;
@@ -578,10 +657,16 @@
         record_.code = result_code::outcome_unknown;
     }
     const bool never_executed = record_.executions == 0;
-    const auto wait = std::clamp<duration>(
-        state_.upstreams.retry_after(request_.service, now), min_retry_after,
-        std::max<duration>(
-            min_retry_after, request_.time_left() / retry_after_divisor));
+    const auto wait =
+        quarantined_until_
+            ? std::max<duration>(
+                  min_retry_after, *quarantined_until_ - wall_clock::now())
+            : std::clamp<duration>(
+                  state_.upstreams.retry_after(request_.service, now),
+                  min_retry_after,
+                  std::max<duration>(
+                      min_retry_after,
+                      request_.time_left() / retry_after_divisor));
     const unsigned status = never_executed ? 503 : http_status_of(record_.code);
     co_await send_local_response(
         status, record_.code, never_executed ? wait : duration::zero());
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -64,6 +64,14 @@
     asio::awaitable<next_step> forward_response(
         const serving::chosen_upstream& target, http::response_stream& stream);
     asio::awaitable<bool> wait_for_upstream();
+    /// Returns whether the request may be sent to an upstream, as far as its
+    /// crash record is concerned.
+    [[nodiscard]] bool check_quarantine();
+    /// Ends the trial of a suspect.
+    void end_trial();
+    /// Records that the attempt broke off, and finds out whether its upstream
+    /// has crashed.
+    asio::awaitable<void> report_broken_attempt();
     asio::awaitable<void> send_local_response(
         unsigned status, result_code code, duration retry_after);
     asio::awaitable<void> send_final_error();
@@ -93,6 +101,17 @@
     request_record record_;
     std::set<upstream_id> tried_upstreams_;
     std::uint32_t upstream_waits_ = 0;
+    /// How the last attempt ended if a crash of its upstream would explain it.
+    struct broken_attempt
+    {
+        serving::upstream upstream;
+        /// The upstream sent nothing, so its port is not probed.
+        bool timed_out = false;
+    };
+    std::optional<broken_attempt> broken_attempt_;
+    /// Set if the request is quarantined: when it may be sent again.
+    std::optional<wall_time> quarantined_until_;
+    bool is_trial_ = false;
     bool caller_disconnected_ = false;
     bool response_head_sent_ = false;
     /// When the current attempt times out if the response has not begun.
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -4,6 +4,7 @@
 #define WAGTAILSEAM_GATEWAY_SHARED_STATE_HPP
 
 #include "core/random_source.hpp"
+#include "gateway/crash_registry.hpp"
 #include "platform/settings_file.hpp"
 #include "retry/retry_budget.hpp"
 #include "serving/cache_view.hpp"
@@ -53,6 +54,7 @@
     serving::cache_view caches;
     /// When the operator's table was last read, or reported as unchanged.
     mono_time operator_table_read_at;
+    crash_registry crashes;
     /// Retry budgets by service.
     std::map<serving::service_id, retry::retry_budget> retry_budgets;
     telemetry::metrics metrics;
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -86,6 +86,10 @@
           context, asio::ip::udp::endpoint(
                        asio::ip::make_address(state.settings.ip),
                        state.settings.first_internal_port)),
+      quarantine_sync_(
+          context, state, row_store_,
+          [this](const auto& datagram, const auto& receiver)
+          { send_datagram(datagram, receiver); }),
       cache_store_client_(
           context.get_executor(),
           {.connect_timeout = store_connect_timeout, .max_idle_connections = 1})
@@ -96,6 +100,7 @@
 {
     operator_table_.start();
     upstream_table_.start();
+    quarantine_sync_.start();
     asio::co_spawn(
         context_,
         engine_status::register_listener(
@@ -128,6 +133,10 @@
         {
             handle_store_update(datagram);
         }
+        else if (quarantine::is_crash_report(datagram))
+        {
+            quarantine_sync_.handle_datagram(datagram);
+        }
         else
         {
             handle_status(datagram, sender);
@@ -176,9 +185,16 @@
         .incarnation = incarnation_,
         .sequence_number = ++report_sequence_number_,
         .pending_prefill = state_.upstreams.own_pending_prefill(id)});
-    // The next report makes up for one that cannot be sent.
+    send_datagram(datagram, agent->second);
+}
+
+void state_updater::send_datagram(
+    const std::string& datagram, const asio::ip::udp::endpoint& receiver)
+{
+    // All datagrams are repeated, so the next one makes up for one that cannot
+    // be sent.
     boost::system::error_code ignored;
-    agent_socket_.send_to(asio::buffer(datagram), agent->second, 0, ignored);
+    agent_socket_.send_to(asio::buffer(datagram), receiver, 0, ignored);
 }
 
 asio::awaitable<void> state_updater::renew_prefill_reports()
@@ -309,15 +325,18 @@
         .with("version", received.version);
 }
 
+bool state_updater::list_recovering() const
+{
+    return monotonic_clock::now() - upstream_table_.last_failure() <
+           outage_recovery_time;
+}
+
 duration state_updater::removal_grace_period() const
 {
-    const bool recovering =
-        monotonic_clock::now() - upstream_table_.last_failure() <
-        outage_recovery_time;
     const duration grace_period =
         state_.settings.bounds.drain_deadline - drain_margin;
-    return recovering ? std::max<duration>(grace_period, relisting_delay)
-                      : grace_period;
+    return list_recovering() ? std::max<duration>(grace_period, relisting_delay)
+                             : grace_period;
 }
 
 void state_updater::apply_upstream_rows(
@@ -328,6 +347,11 @@
     for (const auto& row : rows.rows)
     {
         auto entry = platform::decode_upstream_row(row);
+        if (entry)
+        {
+            state_.crashes.record_process_listed(
+                {entry->id, entry->started_ms});
+        }
         if (entry && whole_table)
         {
             listed.push_back(std::move(*entry));
@@ -346,8 +370,15 @@
             telemetry::event("upstream_unlisted")
                 .with("upstream", row.key)
                 .with("grace_us", removal_grace_period().count());
-            state_.upstreams.remove(
+            const auto removed = state_.upstreams.remove(
                 upstream_id{row.key}, removal_grace_period(), now);
+            // A silent crash without a successor shows only here. An upstream
+            // that drains is removed as well, but completes its requests.
+            if (removed && !list_recovering())
+            {
+                state_.crashes.record_process_end(
+                    {removed->id, removed->started_ms}, "unlisted");
+            }
         }
         else
         {
@@ -370,10 +401,7 @@
 {
     for (const auto& entry : ended)
     {
-        telemetry::event("upstream_process_ended")
-            .with("upstream", entry.id)
-            .with("started_ms", entry.started_ms)
-            .with("source", "list");
+        state_.crashes.record_process_end({entry.id, entry.started_ms}, "list");
     }
 }
 
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -3,6 +3,7 @@
 #ifndef WAGTAILSEAM_GATEWAY_STATE_UPDATER_HPP
 #define WAGTAILSEAM_GATEWAY_STATE_UPDATER_HPP
 
+#include "gateway/quarantine_sync.hpp"
 #include "gateway/shared_state.hpp"
 #include "http/client.hpp"
 #include "platform/row_store_client.hpp"
@@ -46,6 +47,8 @@
     void send_prefill_report(const upstream_id& id);
     asio::awaitable<void> renew_prefill_reports();
     void handle_store_update(std::string_view datagram);
+    void send_datagram(
+        const std::string& datagram, const asio::ip::udp::endpoint& receiver);
     /// Polls a store for changes that relayed updates did not contain.
     asio::awaitable<void> resync_store(serving::cache_store store);
     /// Returns whether agents relay the updates of a store to this gateway.
@@ -63,6 +66,9 @@
     void handle_ended_processes(const std::vector<serving::upstream>& ended);
     void apply_configuration(serving::configuration received);
     void apply_weight_target(const serving::weight_target& received);
+    /// Returns whether the list may lack upstreams that are running, because
+    /// the row store was unavailable until recently.
+    [[nodiscard]] bool list_recovering() const;
     /// Returns how long an upstream that is no longer listed remains in use.
     [[nodiscard]] duration removal_grace_period() const;
 
@@ -73,6 +79,7 @@
     platform::table_watcher operator_table_;
     platform::table_watcher upstream_table_;
     asio::ip::udp::socket agent_socket_;
+    quarantine_sync quarantine_sync_;
     http::client cache_store_client_;
     /// Agent incarnation and sequence number of the last status of each engine.
     std::map<upstream_id, std::pair<std::uint64_t, std::uint64_t>> last_status_;
--- /dev/null
+++ b/src/http/listener_probe.hpp
@@ -0,0 +1,20 @@
+// Checks whether a server listens on its port.
+#ifndef WAGTAILSEAM_HTTP_LISTENER_PROBE_HPP
+#define WAGTAILSEAM_HTTP_LISTENER_PROBE_HPP
+
+#include "core/clock.hpp"
+#include "http/message.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace wagtailseam::http
+{
+
+/// Opens and closes a connection to a server.
+/// @return true if the connection was refused, so that no process listens on
+///         the port; false if it was accepted or nothing answered in time
+boost::asio::awaitable<bool> is_port_closed(address server, duration timeout);
+
+} // namespace wagtailseam::http
+
+#endif
--- /dev/null
+++ b/src/quarantine/crash_attribution.hpp
@@ -0,0 +1,109 @@
+// Attributes the ends of upstream processes to the requests whose attempts they
+// broke off.
+#ifndef WAGTAILSEAM_QUARANTINE_CRASH_ATTRIBUTION_HPP
+#define WAGTAILSEAM_QUARANTINE_CRASH_ATTRIBUTION_HPP
+
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+#include "quarantine/crash_record_cache.hpp"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace wagtailseam::quarantine
+{
+
+/// One run of an upstream's process.
+struct upstream_process
+{
+    upstream_id id;
+    /// Start time in ms that the upstream reports, which distinguishes
+    /// processes with the same id; 0 if unknown.
+    std::uint64_t started_ms = 0;
+
+    friend bool operator==(const upstream_process&, const upstream_process&) =
+        default;
+    friend auto operator<=>(const upstream_process&, const upstream_process&) =
+        default;
+};
+
+/// Returns the id of the crash of an upstream process. All gateways name the
+/// same crash alike.
+[[nodiscard]] crash_id make_crash_id(const upstream_process& process);
+
+struct crash_attribution_options
+{
+    /// A broken attempt and the end of its process are matched if they are
+    /// observed within this time. A silent crash is only observed when the
+    /// upstream registers again.
+    duration match_window = std::chrono::seconds(30);
+    /// When it is reached, the process that was updated least recently is
+    /// dropped.
+    std::size_t max_processes = 256;
+    /// Further broken attempts of a process are ignored. An upstream runs some
+    /// hundred requests of all gateways at once.
+    std::size_t max_attempts_per_process = 512;
+};
+
+/// What the end of a process reveals.
+struct process_end
+{
+    /// The end was unknown until now.
+    bool is_news = false;
+    /// The requests with stored attempts that broke within the match window.
+    /// Each attempt is returned once.
+    std::vector<request_fingerprint> requests;
+};
+
+/// Matches broken attempts with ended processes, whichever is observed first.
+/// Performs no I/O. Not thread-safe.
+class crash_attribution
+{
+public:
+    explicit crash_attribution(const crash_attribution_options& options = {});
+
+    /// Records an attempt without a complete answer that a crash of the process
+    /// would explain.
+    /// @return whether the process is known to have ended; the attempt is then
+    ///         not stored
+    [[nodiscard]] bool record_broken_attempt(
+        const upstream_process& process, const request_fingerprint& request,
+        mono_time now);
+
+    /// Records that a process has ended.
+    [[nodiscard]] process_end record_process_end(
+        const upstream_process& process, mono_time now);
+
+    /// Records that the platform lists a process, so that it has not ended.
+    void record_process_listed(const upstream_process& process);
+
+private:
+    struct broken_attempt
+    {
+        request_fingerprint request;
+        mono_time broken_at;
+    };
+
+    struct process_state
+    {
+        /// In order of `broken_at`; at most max_attempts_per_process.
+        std::vector<broken_attempt> attempts;
+        std::optional<mono_time> ended_at;
+        mono_time updated_at;
+    };
+
+    process_state& touch(const upstream_process& process, mono_time now);
+    void remove_outdated(mono_time now);
+
+    crash_attribution_options options_;
+    /// At most max_processes.
+    std::map<upstream_process, process_state> processes_;
+};
+
+} // namespace wagtailseam::quarantine
+
+#endif
--- a/src/quarantine/crash_record_cache.cpp
+++ b/src/quarantine/crash_record_cache.cpp
@@ -67,9 +67,10 @@
     const workspace_id& workspace, std::string_view target,
     std::string_view body)
 {
+    const auto path = target.substr(0, target.find('?'));
     sha256_stream hash;
     hash.update(length_prefixed(workspace.value()));
-    hash.update(length_prefixed(target));
+    hash.update(length_prefixed(body.empty() ? target : path));
     hash.update(body);
     return request_fingerprint(hash.value());
 }
--- a/src/quarantine/crash_record_cache.hpp
+++ b/src/quarantine/crash_record_cache.hpp
@@ -35,7 +35,9 @@
 /// Returns the first hexadecimal digits of a fingerprint, for logs.
 [[nodiscard]] std::string short_name(const request_fingerprint& request);
 
-/// Returns the fingerprint of an HTTP request.
+/// Returns the fingerprint of an HTTP request. The query counts only if there
+/// is no body: a repeated request may differ in it, but without a body it alone
+/// distinguishes the requests of a path.
 /// @param workspace empty for requests without credentials
 /// @param target path and query
 /// Complexity: linear in the size of the body.
--- /dev/null
+++ b/src/quarantine/request_quarantine.cpp
@@ -0,0 +1,200 @@
+// Evaluation of crash records and bookkeeping of their distribution.
+#include "quarantine/request_quarantine.hpp"
+
+#include <boost/assert.hpp>
+
+#include <algorithm>
+
+namespace wagtailseam::quarantine
+{
+
+request_quarantine::request_quarantine(
+    const request_quarantine_options& options)
+    : options_(options), records_(options.max_records)
+{
+    BOOST_ASSERT(options.crashes_to_suspect >= 1);
+    BOOST_ASSERT(options.crashes_to_suspect <= options.crashes_to_quarantine);
+    BOOST_ASSERT(options.trial_delay <= options.record_lifetime);
+}
+
+prompt_status request_quarantine::check(
+    const request_fingerprint& request, wall_time now) const
+{
+    const crash_record* const record = records_.find(request);
+    if (record == nullptr || record->expires <= now)
+    {
+        return unrestricted{};
+    }
+    const auto crashes = record->uncleared_crash_count();
+    if (crashes >= options_.crashes_to_quarantine)
+    {
+        return quarantined{record->expires};
+    }
+    if (crashes < options_.crashes_to_suspect)
+    {
+        return unrestricted{};
+    }
+    const auto last_crash = record->expires - options_.record_lifetime;
+    const auto next_trial = last_crash + options_.trial_delay;
+    if (now < next_trial)
+    {
+        return quarantined{next_trial};
+    }
+    // A trial either clears the record or crashes within the trial delay.
+    return trials_.contains(request)
+               ? prompt_status(quarantined{now + options_.trial_delay})
+               : prompt_status(suspect{});
+}
+
+void request_quarantine::begin_trial(const request_fingerprint& request)
+{
+    trials_.insert(request);
+}
+
+void request_quarantine::end_trial(const request_fingerprint& request)
+{
+    trials_.erase(request);
+}
+
+bool request_quarantine::record_crash(
+    const request_fingerprint& request, const crash_id& crash, wall_time now)
+{
+    const crash_record* const known = records_.find(request);
+    if (known != nullptr && known->crashes.contains(crash))
+    {
+        return false;
+    }
+    records_.merge(
+        request, {.crashes = {crash},
+                  .cleared = {},
+                  .expires = now + options_.record_lifetime});
+    mark_changed(request);
+    return true;
+}
+
+bool request_quarantine::record_completion(const request_fingerprint& request)
+{
+    const crash_record* const known = records_.find(request);
+    if (known == nullptr || known->uncleared_crash_count() == 0)
+    {
+        return false;
+    }
+    crash_record cleared = *known;
+    cleared.clear_crashes();
+    records_.merge(request, cleared);
+    mark_changed(request);
+    return true;
+}
+
+bool request_quarantine::merge(const crash_report& report, wall_time now)
+{
+    auto [request, record] = report;
+    if (record.expires <= now)
+    {
+        return false;
+    }
+    // The clock of the sender may be ahead.
+    record.expires = std::min(record.expires, now + options_.record_lifetime);
+    if (!records_.merge(request, record))
+    {
+        return false;
+    }
+    if (written_here_.contains(request))
+    {
+        unwritten_.insert(request);
+    }
+    return true;
+}
+
+void request_quarantine::mark_changed(const request_fingerprint& request)
+{
+    unsent_.insert_or_assign(request, options_.sends_per_change);
+    if (is_repeated(*records_.find(request)))
+    {
+        written_here_.insert(request);
+        unwritten_.insert(request);
+    }
+}
+
+bool request_quarantine::is_repeated(const crash_record& record) const
+{
+    return record.crashes.size() >= options_.crashes_to_suspect;
+}
+
+std::vector<crash_report> request_quarantine::take_unsent()
+{
+    std::vector<crash_report> reports;
+    for (auto& [request, sends_left] : unsent_)
+    {
+        if (const crash_record* const record = records_.find(request))
+        {
+            reports.emplace_back(request, *record);
+        }
+        --sends_left;
+    }
+    std::erase_if(unsent_, [](const auto& entry) { return entry.second <= 0; });
+    return reports;
+}
+
+std::vector<crash_report> request_quarantine::next_repeated(
+    std::size_t max_reports)
+{
+    std::vector<crash_report> reports;
+    std::vector<crash_report> from_start;
+    for (const auto& [request, record] : records_)
+    {
+        if (!is_repeated(record))
+        {
+            continue;
+        }
+        const bool is_next = !last_repeated_ || *last_repeated_ < request;
+        auto& target = is_next ? reports : from_start;
+        if (target.size() < max_reports)
+        {
+            target.emplace_back(request, record);
+        }
+    }
+    const auto missing =
+        std::min(max_reports - reports.size(), from_start.size());
+    reports.insert(
+        reports.end(), from_start.begin(),
+        from_start.begin() + static_cast<std::ptrdiff_t>(missing));
+    last_repeated_.reset();
+    if (!reports.empty())
+    {
+        last_repeated_ = reports.back().first;
+    }
+    return reports;
+}
+
+std::vector<crash_report> request_quarantine::take_unwritten()
+{
+    std::vector<crash_report> reports;
+    for (const auto& request : std::exchange(unwritten_, {}))
+    {
+        if (const crash_record* const record = records_.find(request))
+        {
+            reports.emplace_back(request, *record);
+        }
+    }
+    return reports;
+}
+
+void request_quarantine::return_unwritten(
+    const std::vector<crash_report>& reports)
+{
+    for (const auto& [request, record] : reports)
+    {
+        unwritten_.insert(request);
+    }
+}
+
+void request_quarantine::remove_expired(wall_time now)
+{
+    records_.remove_expired(now);
+    std::erase_if(
+        written_here_, [&](const request_fingerprint& request)
+        { return records_.find(request) == nullptr; });
+}
+
+} // namespace wagtailseam::quarantine
--- /dev/null
+++ b/src/quarantine/request_quarantine.hpp
@@ -0,0 +1,111 @@
+// Decides which requests a gateway may send to upstreams, from the crashes
+// during which they ran. Gateways exchange their records, because a request
+// that crashes upstreams returns under other ids at any gateway.
+#ifndef WAGTAILSEAM_QUARANTINE_REQUEST_QUARANTINE_HPP
+#define WAGTAILSEAM_QUARANTINE_REQUEST_QUARANTINE_HPP
+
+#include "quarantine/crash_report.hpp"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace wagtailseam::quarantine
+{
+
+struct request_quarantine_options
+{
+    /// Uncleared crashes after which a request may only run as a trial. One
+    /// crash does not count against a request, because all requests that ran
+    /// beside it on the upstream have the same crash on record.
+    std::size_t crashes_to_suspect = 2;
+    /// Uncleared crashes after which it is refused until the record expires.
+    std::size_t crashes_to_quarantine = 3;
+    /// Time after a suspect's last crash before its trial. Meanwhile, the
+    /// crashed upstreams restart.
+    duration trial_delay = std::chrono::seconds(5);
+    /// Lifetime of a record after the last crash.
+    duration record_lifetime = std::chrono::hours(1);
+    std::size_t max_records = 4096;
+    int sends_per_change = 3;
+};
+
+/// Performs no I/O; not thread-safe. Lookups are logarithmic in the number of
+/// records.
+class request_quarantine
+{
+public:
+    explicit request_quarantine(const request_quarantine_options& options = {});
+
+    /// Returns whether a request may be sent to an upstream. A suspect may be
+    /// sent once begin_trial() was called.
+    [[nodiscard]] prompt_status check(
+        const request_fingerprint& request, wall_time now) const;
+    /// Prevents further runs of a suspect in this process until end_trial().
+    void begin_trial(const request_fingerprint& request);
+    void end_trial(const request_fingerprint& request);
+
+    /// Records a crash of an upstream that executed the request.
+    /// @return whether this crash was unknown
+    bool record_crash(
+        const request_fingerprint& request, const crash_id& crash,
+        wall_time now);
+    /// Clears the known crashes of a request, since an upstream completed it.
+    /// @return whether it had any
+    bool record_completion(const request_fingerprint& request);
+    /// Merges a record of another process or of the store.
+    /// @return whether it contained news
+    bool merge(const crash_report& report, wall_time now);
+
+    /// Returns false if no request can be suspect, so that callers need not
+    /// compute fingerprints.
+    [[nodiscard]] bool has_records() const noexcept
+    {
+        return records_.size() > 0;
+    }
+    [[nodiscard]] const crash_record* find(
+        const request_fingerprint& request) const
+    {
+        return records_.find(request);
+    }
+    [[nodiscard]] std::size_t size() const noexcept { return records_.size(); }
+
+    /// Returns the records that this process changed, for all other processes.
+    /// Returns each change `sends_per_change` times, once per call, to make up
+    /// for lost messages.
+    [[nodiscard]] std::vector<crash_report> take_unsent();
+    /// Returns at most `max_reports` records of several crashes, other ones
+    /// with each call, for processes that were restarted or cut off.
+    [[nodiscard]] std::vector<crash_report> next_repeated(
+        std::size_t max_reports);
+    /// Returns the records of several crashes that the store does not contain
+    /// yet and that this process has to write.
+    [[nodiscard]] std::vector<crash_report> take_unwritten();
+    /// Puts records back whose write failed.
+    void return_unwritten(const std::vector<crash_report>& reports);
+
+    /// Removes expired records.
+    void remove_expired(wall_time now);
+
+private:
+    [[nodiscard]] bool is_repeated(const crash_record& record) const;
+    void mark_changed(const request_fingerprint& request);
+
+    request_quarantine_options options_;
+    crash_record_cache records_;
+    /// Suspects that this process is running.
+    std::set<request_fingerprint> trials_;
+    /// How often each changed record is still to be sent; at least once.
+    std::map<request_fingerprint, int> unsent_;
+    std::set<request_fingerprint> unwritten_;
+    /// Records that this process has to keep up to date in the store.
+    std::set<request_fingerprint> written_here_;
+    /// The last record that next_repeated() returned.
+    std::optional<request_fingerprint> last_repeated_;
+};
+
+} // namespace wagtailseam::quarantine
+
+#endif
--- /dev/null
+++ b/src/quarantine/test/request_quarantine_test.cpp
@@ -0,0 +1,363 @@
+// Tests which requests the quarantine refuses, and how its records spread.
+#include "core/random_source.hpp"
+#include "core/test/property.hpp"
+#include "quarantine/request_quarantine.hpp"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <limits>
+
+namespace wagtailseam::quarantine
+{
+namespace
+{
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+request_fingerprint request(const std::string& text)
+{
+    return request_fingerprint(sha256(text));
+}
+
+crash_id crash(int number)
+{
+    return crash_id("u" + std::to_string(number) + "/1");
+}
+
+bool is_refused(const prompt_status& status)
+{
+    return std::holds_alternative<quarantined>(status);
+}
+
+bool is_suspect(const prompt_status& status)
+{
+    return std::holds_alternative<suspect>(status);
+}
+
+class request_quarantine_fixture : public testing::Test
+{
+protected:
+    void crash_times(int count)
+    {
+        for (int number = 0; number < count; ++number)
+        {
+            quarantine_.record_crash(request_, crash(number), now_);
+        }
+    }
+
+    [[nodiscard]] prompt_status check(duration later = {}) const
+    {
+        return quarantine_.check(request_, now_ + later);
+    }
+
+    request_quarantine quarantine_;
+    const request_fingerprint request_ = request("a");
+    const wall_time now_ = wall_time(hours(1000));
+};
+
+TEST_F(request_quarantine_fixture, one_crash_does_not_restrict_a_request)
+{
+    crash_times(1);
+    EXPECT_TRUE(std::holds_alternative<unrestricted>(check()));
+}
+
+TEST_F(request_quarantine_fixture, one_crash_reported_often_counts_once)
+{
+    for (int repetition = 0; repetition < 4; ++repetition)
+    {
+        quarantine_.record_crash(request_, crash(1), now_);
+    }
+    EXPECT_TRUE(std::holds_alternative<unrestricted>(check()));
+}
+
+TEST_F(
+    request_quarantine_fixture,
+    suspect_is_refused_until_its_trial_and_runs_once_at_a_time)
+{
+    crash_times(2);
+    EXPECT_TRUE(is_refused(check()));
+    EXPECT_TRUE(is_suspect(check(seconds(5))));
+    quarantine_.begin_trial(request_);
+    EXPECT_TRUE(is_refused(check(seconds(5))));
+    quarantine_.end_trial(request_);
+    EXPECT_TRUE(is_suspect(check(seconds(5))));
+}
+
+TEST_F(request_quarantine_fixture, third_crash_quarantines_until_expiry)
+{
+    crash_times(3);
+    EXPECT_TRUE(is_refused(check(seconds(5))));
+    EXPECT_TRUE(is_refused(check(std::chrono::minutes(59))));
+    EXPECT_TRUE(std::holds_alternative<unrestricted>(check(hours(1))));
+}
+
+TEST_F(request_quarantine_fixture, completed_run_clears_a_suspect)
+{
+    crash_times(2);
+    EXPECT_TRUE(quarantine_.record_completion(request_));
+    EXPECT_TRUE(std::holds_alternative<unrestricted>(check()));
+    EXPECT_FALSE(quarantine_.record_completion(request_));
+}
+
+TEST_F(request_quarantine_fixture, cleared_crash_received_again_stays_cleared)
+{
+    crash_times(3);
+    const auto reports = quarantine_.take_unsent();
+    quarantine_.record_completion(request_);
+    EXPECT_FALSE(quarantine_.merge(reports.at(0), now_));
+    EXPECT_TRUE(std::holds_alternative<unrestricted>(check()));
+}
+
+TEST_F(request_quarantine_fixture, crashes_seen_by_several_gateways_add_up)
+{
+    quarantine_.record_crash(request_, crash(0), now_);
+    for (int number = 1; number < 3; ++number)
+    {
+        request_quarantine other;
+        other.record_crash(request_, crash(number), now_);
+        EXPECT_TRUE(quarantine_.merge(other.take_unsent().at(0), now_));
+    }
+    EXPECT_TRUE(is_refused(check(seconds(5))));
+}
+
+TEST_F(
+    request_quarantine_fixture,
+    report_of_a_fast_clock_expires_after_the_usual_lifetime)
+{
+    request_quarantine other;
+    for (int number = 0; number < 3; ++number)
+    {
+        other.record_crash(request_, crash(number), now_ + hours(5));
+    }
+    quarantine_.merge(other.take_unsent().at(0), now_);
+    EXPECT_TRUE(std::holds_alternative<unrestricted>(check(hours(1))));
+}
+
+TEST_F(request_quarantine_fixture, record_of_one_crash_is_sent_but_not_written)
+{
+    crash_times(1);
+    for (int sends = 0; sends < 3; ++sends)
+    {
+        EXPECT_EQ(quarantine_.take_unsent().size(), 1U);
+    }
+    EXPECT_TRUE(quarantine_.take_unsent().empty());
+    EXPECT_TRUE(quarantine_.take_unwritten().empty());
+    EXPECT_TRUE(quarantine_.next_repeated(4).empty());
+}
+
+TEST_F(
+    request_quarantine_fixture,
+    record_of_two_crashes_is_written_again_after_a_failure_and_a_change)
+{
+    crash_times(2);
+    const auto reports = quarantine_.take_unwritten();
+    ASSERT_EQ(reports.size(), 1U);
+    EXPECT_TRUE(quarantine_.take_unwritten().empty());
+    quarantine_.return_unwritten(reports);
+    EXPECT_EQ(quarantine_.take_unwritten().size(), 1U);
+    request_quarantine other;
+    other.record_crash(request_, crash(9), now_);
+    quarantine_.merge(other.take_unsent().at(0), now_);
+    EXPECT_EQ(quarantine_.take_unwritten().size(), 1U);
+}
+
+TEST_F(request_quarantine_fixture, repeated_records_alternate)
+{
+    for (const char* const name : {"a", "b", "c"})
+    {
+        quarantine_.record_crash(request(name), crash(1), now_);
+        quarantine_.record_crash(request(name), crash(2), now_);
+    }
+    std::set<request_fingerprint> seen;
+    for (int call = 0; call < 3; ++call)
+    {
+        const auto reports = quarantine_.next_repeated(1);
+        ASSERT_EQ(reports.size(), 1U);
+        seen.insert(reports[0].first);
+    }
+    EXPECT_EQ(seen.size(), 3U);
+    EXPECT_EQ(quarantine_.next_repeated(9).size(), 3U);
+}
+
+TEST_F(
+    request_quarantine_fixture,
+    records_of_bystanders_do_not_displace_a_quarantined_request)
+{
+    request_quarantine small({.max_records = 8});
+    for (int number = 0; number < 3; ++number)
+    {
+        small.record_crash(request_, crash(number), now_);
+    }
+    for (int other = 0; other < 50; ++other)
+    {
+        small.record_crash(
+            request("other" + std::to_string(other)), crash(1),
+            now_ + seconds(other));
+    }
+    EXPECT_EQ(small.size(), 8U);
+    EXPECT_TRUE(is_refused(small.check(request_, now_ + seconds(60))));
+}
+
+/// Several gateways that exchange records over a lossy network, one request
+/// that crashes each upstream, and one that completes unless an upstream
+/// crashes under it.
+class fleet_simulation
+{
+public:
+    fleet_simulation(std::uint64_t seed, std::size_t gateways)
+        : random_(seed), gateways_(gateways), restarted_at_(gateways)
+    {
+    }
+
+    void run(int steps)
+    {
+        for (int step = 0; step < steps; ++step)
+        {
+            now_ += milliseconds(100);
+            deliver();
+            if (random_.unit() < 0.3)
+            {
+                send_crashing_request();
+            }
+            if (random_.unit() < 0.03)
+            {
+                restart(random_.below(gateways_.size()));
+            }
+            if (step % 5 == 0)
+            {
+                repeat_records();
+            }
+        }
+    }
+
+    /// Returns the arrivals later than contact_time after the third crash, from
+    /// gateways that had not been restarted within that time.
+    [[nodiscard]] std::size_t late_arrivals() const
+    {
+        if (arrivals_.size() < 3)
+        {
+            return 0;
+        }
+        const auto third = arrivals_[2].time;
+        return static_cast<std::size_t>(std::count_if(
+            arrivals_.begin() + 3, arrivals_.end(),
+            [&](const arrival& later)
+            { return later.in_touch && later.time > third + contact_time; }));
+    }
+    [[nodiscard]] std::size_t arrivals() const { return arrivals_.size(); }
+
+private:
+    static constexpr seconds contact_time{3};
+
+    /// The request reached an upstream, which crashed.
+    struct arrival
+    {
+        wall_time time;
+        bool in_touch = false;
+    };
+    struct message
+    {
+        std::size_t receiver;
+        crash_report report;
+    };
+
+    void send_crashing_request()
+    {
+        const auto index = random_.below(gateways_.size());
+        auto& gateway = gateways_[index];
+        if (is_refused(gateway.check(crashing_, now_)))
+        {
+            return;
+        }
+        arrivals_.push_back(
+            {.time = now_,
+             .in_touch = now_ - restarted_at_[index] > contact_time});
+        gateway.record_crash(
+            crashing_, crash(static_cast<int>(arrivals_.size())), now_);
+        send_to_all(index, gateway.take_unsent());
+        for (const auto& [request, record] : gateway.take_unwritten())
+        {
+            rows_.insert_or_assign(std::pair(request, index), record);
+        }
+    }
+
+    void send_to_all(
+        std::size_t sender, const std::vector<crash_report>& reports)
+    {
+        for (std::size_t receiver = 0; receiver < gateways_.size(); ++receiver)
+        {
+            for (const auto& report : reports)
+            {
+                if (receiver != sender && random_.unit() < 0.8)
+                {
+                    network_.push_back({receiver, report});
+                }
+            }
+        }
+    }
+
+    void repeat_records()
+    {
+        for (std::size_t sender = 0; sender < gateways_.size(); ++sender)
+        {
+            send_to_all(sender, gateways_[sender].take_unsent());
+            const auto receiver = random_.below(gateways_.size());
+            for (auto& report : gateways_[sender].next_repeated(4))
+            {
+                network_.push_back({receiver, std::move(report)});
+            }
+        }
+    }
+
+    void deliver()
+    {
+        for (const auto& [receiver, report] : std::exchange(network_, {}))
+        {
+            gateways_[receiver].merge(report, now_);
+        }
+    }
+
+    void restart(std::size_t gateway)
+    {
+        gateways_[gateway] = request_quarantine{};
+        restarted_at_[gateway] = now_;
+        for (const auto& [key, record] : rows_)
+        {
+            gateways_[gateway].merge({key.first, record}, now_);
+        }
+    }
+
+    random_source random_;
+    std::vector<request_quarantine> gateways_;
+    std::deque<message> network_;
+    /// By writing gateway.
+    std::map<std::pair<request_fingerprint, std::size_t>, crash_record> rows_;
+    std::vector<wall_time> restarted_at_;
+    std::vector<arrival> arrivals_;
+    const request_fingerprint crashing_ = request("crashing");
+    wall_time now_ = wall_time(hours(1000));
+};
+
+TEST(
+    request_quarantine_fleet,
+    crashing_request_is_refused_everywhere_within_three_seconds)
+{
+    check_property(
+        5000,
+        []
+        {
+            const auto seed = *rc::gen::inRange<std::uint64_t>(
+                0, std::numeric_limits<std::uint64_t>::max());
+            const auto gateways = *rc::gen::inRange<std::size_t>(1, 12);
+            fleet_simulation fleet(seed, gateways);
+            fleet.run(300);
+            RC_ASSERT(fleet.arrivals() >= 3U);
+            RC_ASSERT(fleet.late_arrivals() <= 3U);
+        });
+}
+
+} // namespace
+} // namespace wagtailseam::quarantine
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -91,9 +91,26 @@
         current = std::max(current, version);
     }
     state.removed_at.reset();
+    if (has_successor(listed))
+    {
+        state.removed_at = mono_time{};
+    }
     return ended;
 }
 
+bool load_balancer::has_successor(const upstream& listed) const
+{
+    return std::any_of(
+        upstreams_.begin(), upstreams_.end(),
+        [&](const auto& entry)
+        {
+            const auto& other = entry.second;
+            return other.entry.address == listed.address &&
+                   other.entry.started_ms > listed.started_ms &&
+                   !other.removed_at;
+        });
+}
+
 std::vector<upstream> load_balancer::remove_predecessors(const upstream& listed)
 {
     std::vector<upstream> removed;
@@ -111,12 +128,15 @@
     return removed;
 }
 
-void load_balancer::remove(const upstream_id& id, duration grace, mono_time now)
+std::optional<upstream> load_balancer::remove(
+    const upstream_id& id, duration grace, mono_time now)
 {
+    std::optional<upstream> removed;
     const auto found = upstreams_.find(id);
     if (found != upstreams_.end() && !found->second.removed_at)
     {
         found->second.removed_at = now + grace;
+        removed = found->second.entry;
     }
     std::erase_if(
         upstreams_,
@@ -126,6 +146,7 @@
             return state.removed_at && state.in_flight == 0 &&
                    now > *state.removed_at;
         });
+    return removed;
 }
 
 bool load_balancer::is_draining_or_removed(
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -185,7 +185,9 @@
     std::vector<upstream> upsert(const upstream& listed);
     /// Removes an entry after the grace period, because the list loses live
     /// upstreams while the platform's row store is down.
-    void remove(const upstream_id& id, duration grace, mono_time now);
+    /// @return the entry if it was listed until now
+    std::optional<upstream> remove(
+        const upstream_id& id, duration grace, mono_time now);
 
     /// Applies a load report of an engine's agent.
     void update_load(
@@ -256,6 +258,8 @@
     /// processes have ended even if the list still contains them.
     /// @return the entries removed by this call
     std::vector<upstream> remove_predecessors(const upstream& listed);
+    /// Returns whether an upstream that started later runs at the address.
+    [[nodiscard]] bool has_successor(const upstream& listed) const;
     [[nodiscard]] static bool is_draining_or_removed(
         const upstream_state& state, mono_time now) noexcept;
     [[nodiscard]] bool is_available(
--- a/src/serving/test/load_balancer_test.cpp
+++ b/src/serving/test/load_balancer_test.cpp
@@ -363,6 +363,64 @@
     EXPECT_EQ(times_chosen("new"), 200);
 }
 
+TEST_F(load_balancer_fixture, listed_successor_reports_its_predecessor_once)
+{
+    const http::address address{"10.0.0.1:80"};
+    const upstream old_entry{
+        .id = upstream_id{"old"},
+        .service = engines,
+        .address = address,
+        .started_ms = 100};
+    const upstream new_entry{
+        .id = upstream_id{"new"},
+        .service = engines,
+        .address = address,
+        .started_ms = 200};
+    EXPECT_TRUE(balancer_.upsert(old_entry).empty());
+    EXPECT_EQ(balancer_.upsert(new_entry), std::vector{old_entry});
+    EXPECT_TRUE(balancer_.upsert(new_entry).empty());
+    EXPECT_TRUE(
+        balancer_.replace({old_entry, new_entry}, duration{}, now_).empty());
+}
+
+TEST_F(
+    load_balancer_fixture, predecessor_that_is_still_listed_is_not_used_again)
+{
+    const auto entry_of = [](const std::string& id, std::uint64_t started_ms)
+    {
+        return upstream{
+            .id = upstream_id{id},
+            .service = engines,
+            .address = http::address{"10.0.0.1:80"},
+            .started_ms = started_ms};
+    };
+    balancer_.replace(
+        {entry_of("new", 200), entry_of("old", 100)}, duration{}, now_);
+    EXPECT_EQ(times_chosen("new"), 200);
+}
+
+TEST_F(load_balancer_fixture, restart_under_the_same_id_reports_its_predecessor)
+{
+    upstream entry{
+        .id = upstream_id{"a"},
+        .service = engines,
+        .address = http::address{"10.0.0.1:80"},
+        .started_ms = 100};
+    EXPECT_TRUE(balancer_.upsert(entry).empty());
+    const auto predecessor = std::exchange(entry.started_ms, 200);
+    const auto ended = balancer_.upsert(entry);
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended[0].started_ms, predecessor);
+}
+
+TEST_F(load_balancer_fixture, removed_upstream_is_reported_once)
+{
+    list("a");
+    EXPECT_TRUE(balancer_.remove(upstream_id{"a"}, duration{}, now_));
+    EXPECT_FALSE(balancer_.remove(upstream_id{"a"}, duration{}, now_));
+    EXPECT_FALSE(balancer_.remove(upstream_id{"b"}, duration{}, now_));
+}
+
 TEST_F(load_balancer_fixture, local_upstream_is_preferred_among_equals)
 {
     list("near", local_data_centre);
