Keep spent retries across a reload of the settings

A gateway dropped its retry budgets at each SIGHUP, so each reload granted 1/48 of the slack again; a series of signals in one window could pass the agreed total.

Process restarts still start with a full share of the slack; listed as suspected in the postmortem.

--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -134,8 +134,7 @@
 
 void app::reload(const platform::process_settings& changed)
 {
-    state_.settings.bounds = changed.bounds;
-    state_.retry_budgets.clear();
+    state_.apply_bounds(changed.bounds);
     telemetry::event("settings_reloaded").with("vm", state_.settings.vm);
 }
 
--- a/src/gateway/shared_state.cpp
+++ b/src/gateway/shared_state.cpp
@@ -32,18 +32,31 @@
     {
         return found->second;
     }
+    const retry::retry_budget new_budget(make_retry_budget_options());
+    return retry_budgets.emplace(service, new_budget).first->second;
+}
+
+void shared_state::apply_bounds(const platform::service_level_bounds& bounds)
+{
+    settings.bounds = bounds;
+    for (auto& [service, budget] : retry_budgets)
+    {
+        budget.set_options(make_retry_budget_options());
+    }
+}
+
+retry::retry_budget_options shared_state::make_retry_budget_options() const
+{
     const double retry_slack =
         settings.bounds.retry_budget_slack / max_gateways;
-    const retry::retry_budget new_budget(
-        {.success_ratio = 0,
-         .request_ratio =
-             settings.bounds.retry_budget_ratio * retry_ratio_share,
-         .initial = retry_slack,
-         .capacity = retry_slack,
-         .reroute_cost = 1,
-         .crash_capacity = 0,
-         .crash_success_ratio = 0});
-    return retry_budgets.emplace(service, new_budget).first->second;
+    return {
+        .success_ratio = 0,
+        .request_ratio = settings.bounds.retry_budget_ratio * retry_ratio_share,
+        .initial = retry_slack,
+        .capacity = retry_slack,
+        .reroute_cost = 1,
+        .crash_capacity = 0,
+        .crash_success_ratio = 0};
 }
 
 } // namespace wagtailseam::gateway
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -67,6 +67,11 @@
     /// Returns the retry budget of a service, and creates it if necessary.
     [[nodiscard]] retry::retry_budget& retry_budget_for(
         const serving::service_id& service);
+    /// Applies changed bounds. Retries that were spent stay spent.
+    void apply_bounds(const platform::service_level_bounds& bounds);
+
+private:
+    [[nodiscard]] retry::retry_budget_options make_retry_budget_options() const;
 };
 
 } // namespace wagtailseam::gateway
--- a/src/retry/retry_budget.cpp
+++ b/src/retry/retry_budget.cpp
@@ -16,6 +16,13 @@
     BOOST_ASSERT(options.reroute_cost > 0);
 }
 
+void retry_budget::set_options(const retry_budget_options& options) noexcept
+{
+    options_ = options;
+    tokens_ = std::min(tokens_, options_.capacity);
+    crash_tokens_ = std::min(crash_tokens_, options_.crash_capacity);
+}
+
 void retry_budget::on_request() noexcept
 {
     tokens_ = std::min(options_.capacity, tokens_ + options_.request_ratio);
--- a/src/retry/retry_budget.hpp
+++ b/src/retry/retry_budget.hpp
@@ -51,6 +51,8 @@
 public:
     explicit retry_budget(const retry_budget_options& options = {});
 
+    /// Replaces the options. Tokens that were spent stay spent.
+    void set_options(const retry_budget_options& options) noexcept;
     /// Adds tokens for a new request. Not to be called for retries.
     void on_request() noexcept;
     /// Adds tokens for a request that succeeded.
