Do not suspect requests whose content is completed all the time

Cause: the quarantine took the content for one request. A content that was completed in the last 60 s (at this gateway) cannot be one that crashes each upstream: its crashes are not recorded, and a report of another gateway is answered with a cleared record. Only answers that mark their own end count, since a crash may end one that does not.

Before: content_that_is_completed_is_never_suspected failed with the table of completions empty.

--- a/src/gateway/crash_registry.cpp
+++ b/src/gateway/crash_registry.cpp
@@ -15,15 +15,27 @@
 {
     const bool ended = attribution_.record_broken_attempt(
         process, request, monotonic_clock::now());
-    if (ended && quarantine_.record_crash(
-                     request, make_crash_id(process), wall_clock::now()))
+    if (ended)
     {
-        log_restriction(request, "attempt");
-        on_unsent_records_();
+        record_crash(process, request, "attempt");
     }
     return ended;
 }
 
+void crash_registry::record_crash(
+    const upstream_process& process, const request_fingerprint& request,
+    std::string_view source)
+{
+    if (completions_.contains(request, monotonic_clock::now()) ||
+        !quarantine_.record_crash(
+            request, make_crash_id(process), wall_clock::now()))
+    {
+        return;
+    }
+    log_restriction(request, source);
+    on_unsent_records_();
+}
+
 void crash_registry::record_process_end(
     const upstream_process& process, std::string_view source)
 {
@@ -38,19 +50,9 @@
         .with("started_ms", process.started_ms)
         .with("source", source)
         .with("broken_attempts", end.requests.size());
-    bool changed = false;
     for (const auto& request : end.requests)
     {
-        if (quarantine_.record_crash(
-                request, make_crash_id(process), wall_clock::now()))
-        {
-            changed = true;
-            log_restriction(request, source);
-        }
-    }
-    if (changed)
-    {
-        on_unsent_records_();
+        record_crash(process, request, source);
     }
 }
 
@@ -61,6 +63,7 @@
 
 void crash_registry::record_completion(const request_fingerprint& request)
 {
+    completions_.insert(request, monotonic_clock::now());
     if (quarantine_.record_completion(request))
     {
         telemetry::event("crash_record_cleared")
@@ -71,10 +74,15 @@
 
 void crash_registry::merge(const crash_report& report, std::string_view source)
 {
-    if (quarantine_.merge(report, wall_clock::now()))
+    if (!quarantine_.merge(report, wall_clock::now()))
+    {
+        return;
+    }
+    if (completions_.contains(report.first, monotonic_clock::now()))
     {
-        log_restriction(report.first, source);
+        record_completion(report.first);
     }
+    log_restriction(report.first, source);
 }
 
 quarantine::prompt_status crash_registry::check(
--- a/src/gateway/crash_registry.hpp
+++ b/src/gateway/crash_registry.hpp
@@ -4,6 +4,7 @@
 #define WAGTAILSEAM_GATEWAY_CRASH_REGISTRY_HPP
 
 #include "quarantine/crash_attribution.hpp"
+#include "quarantine/recent_completions.hpp"
 #include "quarantine/request_quarantine.hpp"
 
 #include <functional>
@@ -12,7 +13,9 @@
 namespace wagtailseam::gateway
 {
 
-/// Reads the clocks and logs each change that restricts a request. Not
+/// Ignores crashes under a request that was completed recently: if many callers
+/// send equal requests, some of them run during every crash. Reads the clocks
+/// and logs each change that restricts a request. Not
 /// thread-safe.
 class crash_registry
 {
@@ -52,7 +55,14 @@
         const quarantine::request_fingerprint& request,
         std::string_view source) const;
 
+    /// Records a crash of a process that was executing the request.
+    void record_crash(
+        const quarantine::upstream_process& process,
+        const quarantine::request_fingerprint& request,
+        std::string_view source);
+
     quarantine::crash_attribution attribution_;
+    quarantine::recent_completions completions_;
     quarantine::request_quarantine quarantine_;
     std::function<void()> on_unsent_records_ = [] {};
 };
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -575,7 +575,7 @@
 }
 
 asio::awaitable<void> request_handler::end_response(
-    const serving::chosen_upstream& target)
+    const serving::chosen_upstream& target, bool self_delimiting)
 {
     const std::string incomplete_event = event_splitter_.partial();
     (void)co_await exchange_.write(incomplete_event);
@@ -584,7 +584,7 @@
     {
         end_attempt(target, serving::answered{});
         record_.code = result_code::ok;
-        if (state_.crashes.quarantine().has_records())
+        if (self_delimiting)
         {
             state_.crashes.record_completion(request_.fingerprint());
         }
@@ -632,7 +632,7 @@
         }
         if (chunk.value().empty())
         {
-            co_await end_response(target);
+            co_await end_response(target, stream.is_self_delimiting());
             co_return next_step::finished;
         }
         co_await forward_chunk(chunk.value());
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -54,7 +54,10 @@
         const platform::upstream_response& response) const;
     asio::awaitable<void> begin_response(const http::response& upstream_head);
     asio::awaitable<void> forward_chunk(std::string_view chunk);
-    asio::awaitable<void> end_response(const serving::chosen_upstream& target);
+    /// @param self_delimiting whether the response cannot have been cut off by
+    ///        a crash of the upstream unnoticed
+    asio::awaitable<void> end_response(
+        const serving::chosen_upstream& target, bool self_delimiting);
     [[nodiscard]] next_step handle_broken_response(
         const serving::chosen_upstream& target);
     /// Returns whether the response is a resumable event stream. The gateway
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -257,6 +257,8 @@
     response header;
     std::array<char, read_buffer_bytes> read_buffer{};
     bool is_head_request = false;
+    /// Whether the header states the length of the body or that it is chunked.
+    bool is_self_delimiting = false;
 
     state() = default;
     state(const state&) = delete;
@@ -357,6 +359,7 @@
     {
         header.headers.emplace_back(field.name_string(), field.value());
     }
+    is_self_delimiting = !parser->need_eof();
     header.content_length.reset();
     if (const auto length = parser->content_length())
     {
@@ -395,6 +398,11 @@
     return state_->header;
 }
 
+bool response_stream::is_self_delimiting() const noexcept
+{
+    return state_->is_self_delimiting;
+}
+
 asio::awaitable<result<std::string_view>> response_stream::read(
     duration timeout)
 {
@@ -508,9 +516,13 @@
 }
 
 asio::awaitable<result<response>> client::fetch(
-    address server, request message, duration timeout)
+    address server, request message, duration timeout,
+    std::shared_ptr<cancellation_handle> cancellation)
 {
-    auto opened = co_await open(std::move(server), std::move(message), timeout);
+    open_options options{
+        .timeout = timeout, .cancellation = std::move(cancellation)};
+    auto opened = co_await open(
+        std::move(server), std::move(message), std::move(options));
     if (!opened)
     {
         co_return boost::outcome_v2::failure(opened.error());
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -85,6 +85,10 @@
     /// Returns the status and the header fields; the body is empty.
     [[nodiscard]] const response& head() const noexcept;
 
+    /// Returns whether the end of the body is marked, so that it cannot be
+    /// confused with the end of the server's process.
+    [[nodiscard]] bool is_self_delimiting() const noexcept;
+
     /// Returns the next part of the body, or an empty view at its end. The view
     /// is valid until the next call. @errors stream_broken
     asio::awaitable<result<std::string_view>> read(duration timeout);
@@ -111,8 +115,10 @@
     /// response header and to each read of the body.
     /// @errors upstream_unreachable: no connection; nothing was sent.
     ///         stream_broken: the server may have received the request.
+    /// @param cancellation may be null
     asio::awaitable<result<response>> fetch(
-        address server, request message, duration timeout);
+        address server, request message, duration timeout,
+        std::shared_ptr<cancellation_handle> cancellation = nullptr);
 
     /// Sends a request and returns after the response header was received. A
     /// response may arrive before the request is written completely; its
