Follow a row store that returns from an older copy

row_store_client decodes the era into store_era, drops answers of an earlier era and reports a restoration; a position (era, version) replaces the bare version, so that a position of an earlier era is never continued, also where no 410 comes. Draining never reverts for a process, and a process whose departure was confirmed is not taken back from the copy. Fencing numbers contain the era. Listener rows and crash records are written again; entries of listeners that the copy lacks are kept.

--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -31,8 +31,8 @@
 constexpr auto completion_token =
     asio::experimental::as_tuple(asio::use_awaitable);
 
-/// Table with one row per agent; each start writes the row, and the version
-/// of that write is the fencing number.
+/// Table with one row per agent; each start writes the row, and the position of
+/// that write becomes the fencing number.
 constexpr const char* agent_table = "agents";
 constexpr std::chrono::milliseconds engine_timeout{600};
 constexpr std::chrono::milliseconds connect_timeout{300};
@@ -83,14 +83,14 @@
       operator_table_(
           context, row_store_,
           {.table = platform::operator_table,
-           .on_rows = [this](const auto& rows, bool)
+           .on_rows = [this](const auto& rows, auto)
            { apply_operator_rows(rows); },
            .poll_timeout = operator_poll_timeout}),
       listener_table_(
           context, row_store_,
           {.table = engine_status::listener_table,
-           .on_rows = [this](const auto& rows, bool whole_table)
-           { listeners_.apply(rows, whole_table); },
+           .on_rows = [this](const auto& rows, auto scope)
+           { listeners_.apply(rows, scope); },
            .poll_timeout = listener_poll_timeout,
            .batch_delay = listener_batch_delay}),
       http_(
@@ -143,8 +143,8 @@
             agent_table, settings_.vm.value(), settings_.ip);
         if (written)
         {
-            // Row versions only grow, so every restart gets a higher number.
-            fencing_ = fencing_number{written.value().value()};
+            // Positions only grow, so every restart gets a higher number.
+            fencing_ = platform::make_fencing_number(written.value());
             telemetry::event("fencing_number_taken").with("number", *fencing_);
             co_return;
         }
--- a/src/engine_status/listener.cpp
+++ b/src/engine_status/listener.cpp
@@ -1,6 +1,8 @@
 // Encodes, decodes and writes the rows of listeners.
 #include "engine_status/listener.hpp"
 
+#include "core/random_source.hpp"
+#include "runtime/program.hpp"
 #include "telemetry/event_log.hpp"
 
 #include <boost/asio/experimental/as_tuple.hpp>
@@ -8,6 +10,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <memory>
 #include <string_view>
 
 namespace wagtailseam::engine_status
@@ -19,6 +22,9 @@
 
 constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds retry_interval{1000};
+/// Spreads the writes of all processes after the store was restored. Other
+/// processes keep the addresses that they know.
+constexpr duration max_rewrite_delay = std::chrono::seconds(10);
 
 /// Separates the address from the role.
 constexpr char separator = ' ';
@@ -57,19 +63,31 @@
 asio::awaitable<void> register_listener(
     platform::row_store_client& store, vm_id vm, listener entry)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    const auto timer = std::make_shared<asio::steady_timer>(
+        co_await asio::this_coro::executor);
+    store.on_restored([timer] { timer->cancel(); });
+    random_source random(runtime::random_incarnation());
     for (;;)
     {
         const auto written = co_await store.put(
             listener_table, vm.value(), encode_listener(entry));
-        if (written)
+        if (!written)
         {
-            telemetry::event("listener_announced")
-                .with("address", entry.address);
-            co_return;
+            timer->expires_after(retry_interval);
+            co_await timer->async_wait(completion);
+            continue;
         }
-        timer.expires_after(retry_interval);
-        co_await timer.async_wait(completion);
+        telemetry::event("listener_announced").with("address", entry.address);
+        if (written.value().era == store.era())
+        {
+            timer->expires_at(asio::steady_timer::time_point::max());
+            co_await timer->async_wait(completion);
+        }
+        asio::steady_timer delay(
+            timer->get_executor(),
+            duration(static_cast<duration::rep>(random.below(
+                static_cast<std::uint64_t>(max_rewrite_delay.count())))));
+        co_await delay.async_wait(completion);
     }
 }
 
--- a/src/engine_status/listener.hpp
+++ b/src/engine_status/listener.hpp
@@ -39,7 +39,8 @@
 /// Returns nullopt if the text is not a valid listener row.
 [[nodiscard]] std::optional<listener> decode_listener(const std::string& text);
 
-/// Writes the listener row of a VM, and retries until the store accepts it.
+/// Writes the listener row of a VM, and again whenever the store was restored.
+/// Does not end.
 boost::asio::awaitable<void> register_listener(
     platform::row_store_client& store, vm_id vm, listener entry);
 
--- a/src/engine_status/listener_directory.cpp
+++ b/src/engine_status/listener_directory.cpp
@@ -7,9 +7,10 @@
 namespace wagtailseam::engine_status
 {
 
-void listener_directory::apply(const platform::row_set& rows, bool whole_table)
+void listener_directory::apply(
+    const platform::row_set& rows, platform::row_scope scope)
 {
-    if (whole_table)
+    if (scope == platform::row_scope::whole_table)
     {
         entries_.clear();
     }
--- a/src/engine_status/listener_directory.hpp
+++ b/src/engine_status/listener_directory.hpp
@@ -3,7 +3,7 @@
 #define WAGTAILSEAM_ENGINE_STATUS_LISTENER_DIRECTORY_HPP
 
 #include "engine_status/listener.hpp"
-#include "platform/row_store_client.hpp"
+#include "platform/table_watcher.hpp"
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -23,8 +23,10 @@
         listener_role role = listener_role::gateway;
     };
 
-    /// Applies the rows of `listener_table`. Logs and ignores invalid rows.
-    void apply(const platform::row_set& rows, bool whole_table);
+    /// Applies the rows of `listener_table`. Logs and ignores invalid rows. A
+    /// restored table may lack rows of running processes, so entries that are
+    /// missing from it are kept.
+    void apply(const platform::row_set& rows, platform::row_scope scope);
 
     [[nodiscard]] const std::map<vm_id, entry>& entries() const noexcept
     {
--- a/src/gateway/quarantine_sync.cpp
+++ b/src/gateway/quarantine_sync.cpp
@@ -40,8 +40,8 @@
       listener_table_(
           context, row_store_,
           {.table = engine_status::listener_table,
-           .on_rows = [this](const auto& rows, bool whole_table)
-           { listeners_.apply(rows, whole_table); },
+           .on_rows = [this](const auto& rows, auto scope)
+           { listeners_.apply(rows, scope); },
            .poll_timeout = listener_poll_timeout,
            .batch_delay = listener_batch_delay}),
       send_timer_(context)
@@ -52,6 +52,8 @@
 {
     listener_table_.start();
     state_.crashes.on_unsent_records([this] { schedule_send(); });
+    row_store_.on_restored([this]
+                           { state_.crashes.quarantine().rewrite_all(); });
     asio::co_spawn(context_, read_rows(), asio::detached);
     asio::co_spawn(context_, repeat_records(), asio::detached);
 }
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -71,15 +71,15 @@
       operator_table_(
           context, row_store_,
           {.table = platform::operator_table,
-           .on_rows = [this](const auto& rows, bool)
+           .on_rows = [this](const auto& rows, auto)
            { apply_operator_rows(rows); },
            .poll_timeout =
                state.settings.bounds.resync_deadline - operator_poll_margin}),
       upstream_table_(
           context, row_store_,
           {.table = platform::upstream_table,
-           .on_rows = [this](const auto& rows, bool whole_table)
-           { apply_upstream_rows(rows, whole_table); },
+           .on_rows = [this](const auto& rows, auto scope)
+           { apply_upstream_rows(rows, scope); },
            .poll_timeout = upstream_poll_timeout,
            .batch_delay = upstream_batch_delay}),
       agent_socket_(
@@ -340,8 +340,9 @@
 }
 
 void state_updater::apply_upstream_rows(
-    const platform::row_set& rows, bool whole_table)
+    const platform::row_set& rows, platform::row_scope scope)
 {
+    const bool whole_table = scope != platform::row_scope::changes;
     const mono_time now = monotonic_clock::now();
     std::vector<serving::upstream> listed;
     for (const auto& row : rows.rows)
@@ -376,6 +377,7 @@
             // that drains is removed as well, but completes its requests.
             if (removed && !list_recovering())
             {
+                state_.upstreams.confirm_departure(removed->id);
                 state_.crashes.record_process_end(
                     {removed->id, removed->started_ms}, "unlisted");
             }
@@ -389,7 +391,14 @@
     }
     if (whole_table)
     {
-        telemetry::event("upstreams_read").with("count", listed.size());
+        const bool restored = scope == platform::row_scope::restored_table;
+        if (restored)
+        {
+            state_.upstreams.remove_departed(listed);
+        }
+        telemetry::event("upstreams_read")
+            .with("count", listed.size())
+            .with("restored", restored ? 1 : 0);
         handle_ended_processes(
             state_.upstreams.replace(listed, removal_grace_period(), now));
         state_.upstream_list_read = true;
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -61,7 +61,8 @@
     asio::awaitable<void> sleep_for(duration time);
 
     void apply_operator_rows(const platform::row_set& rows);
-    void apply_upstream_rows(const platform::row_set& rows, bool whole_table);
+    void apply_upstream_rows(
+        const platform::row_set& rows, platform::row_scope scope);
     /// Handles the processes that a change of the list shows to have ended.
     void handle_ended_processes(const std::vector<serving::upstream>& ended);
     void apply_configuration(serving::configuration received);
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -189,6 +189,11 @@
     }
 }
 
+void request_quarantine::rewrite_all()
+{
+    unwritten_.insert(written_here_.begin(), written_here_.end());
+}
+
 void request_quarantine::remove_expired(wall_time now)
 {
     records_.remove_expired(now);
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -87,6 +87,10 @@
     /// Puts records back whose write failed.
     void return_unwritten(const std::vector<crash_report>& reports);
 
+    /// Marks the records as unwritten that this process wrote, since the store
+    /// may have lost them.
+    void rewrite_all();
+
     /// Removes expired records.
     void remove_expired(wall_time now);
 
--- a/src/quarantine/test/request_quarantine_test.cpp
+++ b/src/quarantine/test/request_quarantine_test.cpp
@@ -164,6 +164,16 @@
     EXPECT_EQ(quarantine_.take_unwritten().size(), 1U);
 }
 
+TEST_F(
+    request_quarantine_fixture,
+    written_records_are_written_again_after_the_store_was_restored)
+{
+    crash_times(2);
+    EXPECT_EQ(quarantine_.take_unwritten().size(), 1U);
+    quarantine_.rewrite_all();
+    EXPECT_EQ(quarantine_.take_unwritten().size(), 1U);
+}
+
 TEST_F(request_quarantine_fixture, repeated_records_alternate)
 {
     for (const char* const name : {"a", "b", "c"})
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -75,6 +75,10 @@
 std::vector<upstream> load_balancer::upsert(const upstream& listed)
 {
     auto ended = remove_predecessors(listed);
+    if (departed_.erase(listed.id) > 0)
+    {
+        std::erase(departure_order_, listed.id);
+    }
     auto& state = upstreams_[listed.id];
     if (state.entry.started_ms != 0 &&
         state.entry.started_ms < listed.started_ms)
@@ -84,7 +88,14 @@
     // The list lags behind the reports of agents and upstreams; a weight
     // version never decreases.
     auto weights = std::move(state.entry.weights);
+    // A process that drains never becomes ready again. A list that was restored
+    // from an older copy may contain its earlier state.
+    const bool same_process =
+        listed.started_ms != 0 && state.entry.started_ms == listed.started_ms;
+    const bool draining =
+        listed.draining || (same_process && state.entry.draining);
     state.entry = listed;
+    state.entry.draining = draining;
     for (const auto& [model, version] : weights)
     {
         auto& current = state.entry.weights[model];
@@ -149,6 +160,38 @@
     return removed;
 }
 
+void load_balancer::confirm_departure(const upstream_id& id)
+{
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end())
+    {
+        return;
+    }
+    const auto [position, is_new] =
+        departed_.insert_or_assign(id, found->second.entry.started_ms);
+    if (is_new)
+    {
+        departure_order_.push_back(id);
+    }
+    if (departure_order_.size() > options_.max_departed)
+    {
+        departed_.erase(departure_order_.front());
+        departure_order_.pop_front();
+    }
+}
+
+void load_balancer::remove_departed(std::vector<upstream>& listed) const
+{
+    std::erase_if(
+        listed,
+        [&](const upstream& entry)
+        {
+            const auto found = departed_.find(entry.id);
+            return found != departed_.end() &&
+                   found->second == entry.started_ms;
+        });
+}
+
 bool load_balancer::is_draining_or_removed(
     const upstream_state& state, mono_time now) noexcept
 {
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -7,7 +7,9 @@
 #include "core/random_source.hpp"
 #include "serving/upstream.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -120,6 +122,8 @@
     duration failure_cost = std::chrono::milliseconds(3000);
     /// Cost of older weights, for the lower value of such an answer.
     duration old_weights_cost = std::chrono::milliseconds(40);
+    /// Number of departed processes that are remembered.
+    std::size_t max_departed = 1024;
 };
 
 struct upstream_query
@@ -189,6 +193,13 @@
     std::optional<upstream> remove(
         const upstream_id& id, duration grace, mono_time now);
 
+    /// Records that a removed entry was not only missing because the row store
+    /// was down.
+    void confirm_departure(const upstream_id& id);
+    /// Erases the entries of processes whose departure was confirmed. A list
+    /// that was restored from an older copy may contain them again.
+    void remove_departed(std::vector<upstream>& listed) const;
+
     /// Applies a load report of an engine's agent.
     void update_load(
         const upstream_id& id, const engine_load& load, mono_time now);
@@ -286,6 +297,11 @@
 
     load_balancer_options options_;
     std::map<upstream_id, upstream_state> upstreams_;
+    /// Start times of processes whose departure was confirmed.
+    /// @invariant at most options_.max_departed entries, those of
+    ///            departure_order_
+    std::map<upstream_id, std::uint64_t> departed_;
+    std::deque<upstream_id> departure_order_;
 };
 
 } // namespace wagtailseam::serving
--- a/src/serving/test/load_balancer_test.cpp
+++ b/src/serving/test/load_balancer_test.cpp
@@ -421,6 +421,43 @@
     EXPECT_FALSE(balancer_.remove(upstream_id{"b"}, duration{}, now_));
 }
 
+TEST_F(load_balancer_fixture, draining_process_never_becomes_ready_again)
+{
+    upstream entry{
+        .id = upstream_id{"a"},
+        .service = engines,
+        .address = http::address{"10.0.0.1:80"},
+        .draining = true,
+        .started_ms = 100};
+    balancer_.upsert(entry);
+    entry.draining = false;
+    balancer_.upsert(entry);
+    EXPECT_EQ(chosen_id(make_query()), "none");
+    entry.started_ms = 200;
+    balancer_.upsert(entry);
+    EXPECT_EQ(chosen_id(make_query()), "a");
+}
+
+TEST_F(load_balancer_fixture, departed_process_in_a_restored_list_is_not_used)
+{
+    const upstream departed{
+        .id = upstream_id{"a"},
+        .service = engines,
+        .address = http::address{"10.0.0.1:80"},
+        .started_ms = 100};
+    auto restarted = departed;
+    restarted.started_ms = 200;
+    balancer_.upsert(departed);
+    balancer_.remove(departed.id, duration{}, now_);
+    balancer_.confirm_departure(departed.id);
+    std::vector<upstream> listed{departed};
+    balancer_.remove_departed(listed);
+    EXPECT_TRUE(listed.empty());
+    listed = {restarted};
+    balancer_.remove_departed(listed);
+    EXPECT_EQ(listed.size(), 1U);
+}
+
 TEST_F(load_balancer_fixture, local_upstream_is_preferred_among_equals)
 {
     list("near", local_data_centre);
