Bound every answer in bytes and in time

Seen before: a body without a length held a request past 20 s.

Cause: the timeout of a connection does not apply while data is available, and fetch() set it anew for each read; nothing bounded the bytes that were buffered but not parsed, so a chunk size or chunk extension without end was read and kept for ever. Now one deadline holds for an answer, checked before each read; the buffer, interim responses, headers and bodies have limits. A resumable stream makes progress by new event ids only. attempt_ended names the limit.

--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -95,7 +95,9 @@
            .batch_delay = listener_batch_delay}),
       http_(
           context.get_executor(),
-          {.connect_timeout = connect_timeout, .max_idle_connections = 1}),
+          {.connect_timeout = connect_timeout,
+           .max_idle_connections = 1,
+           .max_body_bytes = cache_relay::max_response_bytes}),
       socket_(
           context, asio::ip::udp::endpoint(
                        asio::ip::make_address(settings_.ip),
--- a/src/agent/cache_store_poller.cpp
+++ b/src/agent/cache_store_poller.cpp
@@ -35,7 +35,9 @@
     : context_(context),
       http_(
           context.get_executor(),
-          {.connect_timeout = connect_timeout, .max_idle_connections = 1}),
+          {.connect_timeout = connect_timeout,
+           .max_idle_connections = 1,
+           .max_body_bytes = cache_relay::max_response_bytes}),
       send_(std::move(send))
 {
 }
--- a/src/cache_relay/store_requests.hpp
+++ b/src/cache_relay/store_requests.hpp
@@ -14,6 +14,10 @@
 namespace wagtailseam::cache_relay
 {
 
+/// Limit of a response of a cache store. A list has some 50 bytes for each of
+/// its parts.
+inline constexpr std::size_t max_response_bytes = std::size_t{8} * 1024 * 1024;
+
 /// Polls a store for changes with a number greater than `after`. While there
 /// are none, the store delays its answer for up to `wait`.
 /// @errors those of http::client::fetch; upstream_refused for a status other
--- a/src/gateway/quarantine_sync.cpp
+++ b/src/gateway/quarantine_sync.cpp
@@ -25,8 +25,8 @@
 /// As many records as fit into one datagram.
 constexpr std::size_t repeated_records = 4;
 constexpr std::chrono::seconds read_retry_delay{1};
-constexpr std::chrono::seconds listener_poll_timeout{20};
-constexpr std::chrono::seconds listener_batch_delay{2};
+constexpr std::chrono::seconds listener_poll_timeout{30};
+constexpr std::chrono::seconds listener_batch_delay{5};
 /// Stands between the fingerprint and the VM in the key of a row.
 constexpr char row_key_separator = '@';
 
@@ -199,6 +199,7 @@
         reports.erase(rest, reports.end());
     }
     std::vector<platform::row_change> changes;
+    changes.reserve(reports.size());
     for (const auto& [request, record] : reports)
     {
         changes.push_back({make_row_key(request), encode(record)});
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -48,6 +48,10 @@
 /// this number.
 constexpr int retry_after_divisor = 3;
 
+/// An event of a stream that is not complete after this number of bytes ends
+/// the attempt. Events contain a few tokens.
+constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
+
 constexpr unsigned status_server_error = 500;
 
 unsigned http_status_of(result_code code)
@@ -169,14 +173,8 @@
             record_.code = result_code::caller_gone;
             co_return;
         }
-        if (request_.time_left() <= duration::zero())
-        {
-            record_.code = result_code::deadline_passed;
-            break;
-        }
-        if (!check_quarantine())
+        if (!may_start_attempt())
         {
-            record_.code = result_code::quarantined;
             break;
         }
         const auto selection = state_.upstreams.choose(
@@ -225,9 +223,14 @@
     co_await send_final_error();
 }
 
-bool request_handler::check_quarantine()
+bool request_handler::may_start_attempt()
 {
     end_trial();
+    if (request_.time_left() <= duration::zero())
+    {
+        record_.code = result_code::deadline_passed;
+        return false;
+    }
     if (!state_.crashes.quarantine().has_records())
     {
         return true;
@@ -237,6 +240,7 @@
             std::get_if<quarantine::quarantined>(&status))
     {
         quarantined_until_ = refusal->until;
+        record_.code = result_code::quarantined;
         return false;
     }
     if (std::holds_alternative<quarantine::suspect>(status))
@@ -399,6 +403,7 @@
             .with("attempt", record_.dispatches)
             .with("upstream", target.entry.id)
             .with("end", record_.last_result)
+            .with("detail", std::exchange(failure_detail_, {}))
             .with("content", short_name(request_.fingerprint()))
             .with("upstream_started_ms", target.entry.started_ms)
             .with("cost_us", target.cost.count())
@@ -464,6 +469,7 @@
         record_.code = result_code::upstream_unreachable;
         return next_step::retry;
     }
+    failure_detail_ = failure.detail;
     const auto now = monotonic_clock::now();
     const bool deadline_passed = now >= request_.deadline;
     const bool timed_out = deadline_passed || now >= response_deadline_;
@@ -613,14 +619,30 @@
     const serving::chosen_upstream& target, http::response_stream& stream)
 {
     co_await begin_response(stream.head());
+    auto last_progress = monotonic_clock::now();
+    std::string last_event = event_splitter_.last_id();
     while (!caller_disconnected_)
     {
+        // Bytes that complete no event are no progress.
+        if (last_event != event_splitter_.last_id())
+        {
+            last_event = event_splitter_.last_id();
+            last_progress = monotonic_clock::now();
+        }
+        const duration event_time_left =
+            last_progress +
+            request_.route->max_event_gap * event_gap_timeout_factor -
+            monotonic_clock::now();
         const duration limit =
             is_resumable_stream() && may_retry()
-                ? std::min(
-                      request_.time_left(),
-                      request_.route->max_event_gap * event_gap_timeout_factor)
+                ? std::min(request_.time_left(), event_time_left)
                 : request_.time_left();
+        if (event_splitter_.partial().size() > max_event_bytes)
+        {
+            failure_detail_ =
+                "event of over " + std::to_string(max_event_bytes) + " bytes";
+            co_return handle_broken_response(target);
+        }
         const auto chunk = co_await stream.read(limit);
         if (!chunk && caller_disconnected_)
         {
@@ -628,6 +650,7 @@
         }
         if (!chunk)
         {
+            failure_detail_ = chunk.error().detail;
             co_return handle_broken_response(target);
         }
         if (chunk.value().empty())
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -68,8 +68,9 @@
         const serving::chosen_upstream& target, http::response_stream& stream);
     asio::awaitable<bool> wait_for_upstream();
     /// Returns whether the request may be sent to an upstream, as far as its
-    /// crash record is concerned.
-    [[nodiscard]] bool check_quarantine();
+    /// deadline and its crash record are concerned. Otherwise sets the result
+    /// code.
+    [[nodiscard]] bool may_start_attempt();
     /// Ends the trial of a suspect.
     void end_trial();
     /// Records that the attempt broke off, and finds out whether its upstream
@@ -112,6 +113,8 @@
         bool timed_out = false;
     };
     std::optional<broken_attempt> broken_attempt_;
+    /// Why the last attempt failed, for its log line.
+    std::string failure_detail_;
     /// Set if the request is quarantined: when it may be sent again.
     std::optional<wall_time> quarantined_until_;
     bool is_trial_ = false;
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -92,7 +92,9 @@
           { send_datagram(datagram, receiver); }),
       cache_store_client_(
           context.get_executor(),
-          {.connect_timeout = store_connect_timeout, .max_idle_connections = 1})
+          {.connect_timeout = store_connect_timeout,
+           .max_idle_connections = 1,
+           .max_body_bytes = cache_relay::max_response_bytes})
 {
 }
 
@@ -343,7 +345,6 @@
     const platform::row_set& rows, platform::row_scope scope)
 {
     const bool whole_table = scope != platform::row_scope::changes;
-    const mono_time now = monotonic_clock::now();
     std::vector<serving::upstream> listed;
     for (const auto& row : rows.rows)
     {
@@ -368,19 +369,7 @@
         }
         else if (!row.value)
         {
-            telemetry::event("upstream_unlisted")
-                .with("upstream", row.key)
-                .with("grace_us", removal_grace_period().count());
-            const auto removed = state_.upstreams.remove(
-                upstream_id{row.key}, removal_grace_period(), now);
-            // A silent crash without a successor shows only here. An upstream
-            // that drains is removed as well, but completes its requests.
-            if (removed && !list_recovering())
-            {
-                state_.upstreams.confirm_departure(removed->id);
-                state_.crashes.record_process_end(
-                    {removed->id, removed->started_ms}, "unlisted");
-            }
+            remove_upstream(upstream_id{row.key});
         }
         else
         {
@@ -391,18 +380,41 @@
     }
     if (whole_table)
     {
-        const bool restored = scope == platform::row_scope::restored_table;
-        if (restored)
-        {
-            state_.upstreams.remove_departed(listed);
-        }
-        telemetry::event("upstreams_read")
-            .with("count", listed.size())
-            .with("restored", restored ? 1 : 0);
-        handle_ended_processes(
-            state_.upstreams.replace(listed, removal_grace_period(), now));
-        state_.upstream_list_read = true;
+        replace_upstreams(
+            std::move(listed), scope == platform::row_scope::restored_table);
+    }
+}
+
+void state_updater::remove_upstream(const upstream_id& id)
+{
+    telemetry::event("upstream_unlisted")
+        .with("upstream", id)
+        .with("grace_us", removal_grace_period().count());
+    const auto removed = state_.upstreams.remove(
+        id, removal_grace_period(), monotonic_clock::now());
+    // A silent crash without a successor shows only here. An upstream that
+    // drains is removed as well, but completes its requests.
+    if (removed && !list_recovering())
+    {
+        state_.upstreams.confirm_departure(removed->id);
+        state_.crashes.record_process_end(
+            {removed->id, removed->started_ms}, "unlisted");
+    }
+}
+
+void state_updater::replace_upstreams(
+    std::vector<serving::upstream> listed, bool restored)
+{
+    if (restored)
+    {
+        state_.upstreams.remove_departed(listed);
     }
+    telemetry::event("upstreams_read")
+        .with("count", listed.size())
+        .with("restored", restored ? 1 : 0);
+    handle_ended_processes(state_.upstreams.replace(
+        listed, removal_grace_period(), monotonic_clock::now()));
+    state_.upstream_list_read = true;
 }
 
 void state_updater::handle_ended_processes(
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -63,6 +63,10 @@
     void apply_operator_rows(const platform::row_set& rows);
     void apply_upstream_rows(
         const platform::row_set& rows, platform::row_scope scope);
+    void remove_upstream(const upstream_id& id);
+    /// @param restored whether the list was read after the store was restored
+    void replace_upstreams(
+        std::vector<serving::upstream> listed, bool restored);
     /// Handles the processes that a change of the list shows to have ended.
     void handle_ended_processes(const std::vector<serving::upstream>& ended);
     void apply_configuration(serving::configuration received);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -33,8 +33,13 @@
 /// server that responds before it has read the body would deadlock with the
 /// client as soon as the socket buffers are full.
 constexpr std::size_t min_concurrent_write_bytes = std::size_t{8} * 1024;
+/// Limit of received bytes that are not parsed yet. It is above any limit of a
+/// header, and ends a chunk header without end.
+constexpr std::size_t max_buffered_bytes = std::size_t{64} * 1024;
 /// Limit of late responses to earlier requests that one request discards.
 constexpr int max_discarded_responses = 2;
+/// Limit of interim (1xx) responses before a final one.
+constexpr int max_interim_responses = 8;
 /// Fraction of the server's Keep-Alive timeout for which the client reuses an
 /// idle connection.
 constexpr double keep_alive_fraction = 0.7;
@@ -50,7 +55,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_buffered_bytes};
     /// False while a request is being written, and after a failed write.
     bool write_complete = true;
     /// When the connection was returned to the pool.
@@ -273,24 +278,35 @@
     }
 
     asio::awaitable<boost::system::error_code> receive_header(
-        std::size_t max_body_bytes);
-    asio::awaitable<boost::system::error_code> discard_body();
+        const client_options& limits, mono_time deadline);
+    asio::awaitable<boost::system::error_code> discard_body(mono_time deadline);
     asio::awaitable<result<void>> receive_response(
         std::string correlation_header, std::string expected,
-        std::size_t max_body_bytes);
+        client_options limits, mono_time deadline);
     void store_header();
     void release_connection();
 };
 
 /// Reads the next response header, skipping interim (1xx) responses.
 asio::awaitable<boost::system::error_code>
-response_stream::state::receive_header(std::size_t max_body_bytes)
+response_stream::state::receive_header(
+    const client_options& limits, mono_time deadline)
 {
     constexpr unsigned first_final_status = 200;
+    int interim_responses = 0;
     do
     {
+        // Available data is read without waiting, so that the timeout of the
+        // connection does not apply.
+        if (interim_responses++ > max_interim_responses ||
+            monotonic_clock::now() >= deadline)
+        {
+            co_return beast::error::timeout;
+        }
         parser.emplace();
-        parser->body_limit(max_body_bytes);
+        parser->header_limit(
+            static_cast<std::uint32_t>(limits.max_header_bytes));
+        parser->body_limit(limits.max_body_bytes);
         parser->skip(is_head_request);
         const auto [error, size] = co_await bhttp::async_read_header(
             conn->stream, conn->buffer, *parser, completion);
@@ -303,11 +319,15 @@
     co_return boost::system::error_code{};
 }
 
-asio::awaitable<boost::system::error_code>
-response_stream::state::discard_body()
+asio::awaitable<boost::system::error_code> response_stream::state::discard_body(
+    mono_time deadline)
 {
     while (!parser->is_done())
     {
+        if (monotonic_clock::now() >= deadline)
+        {
+            co_return beast::error::timeout;
+        }
         parser->get().body().data = read_buffer.data();
         parser->get().body().size = read_buffer.size();
         const auto [error, size] = co_await bhttp::async_read_some(
@@ -323,12 +343,12 @@
 /// Reads the response header for this request and discards late responses to
 /// earlier requests.
 asio::awaitable<result<void>> response_stream::state::receive_response(
-    std::string correlation_header, std::string expected,
-    std::size_t max_body_bytes)
+    std::string correlation_header, std::string expected, client_options limits,
+    mono_time deadline)
 {
     for (int discarded = 0; discarded <= max_discarded_responses; ++discarded)
     {
-        const auto error = co_await receive_header(max_body_bytes);
+        const auto error = co_await receive_header(limits, deadline);
         if (error)
         {
             co_return fail(result_code::stream_broken, error.message());
@@ -338,7 +358,7 @@
         {
             co_return boost::outcome_v2::success();
         }
-        const auto body_error = co_await discard_body();
+        const auto body_error = co_await discard_body(deadline);
         if (body_error)
         {
             co_return fail(result_code::stream_broken, body_error.message());
@@ -407,8 +427,15 @@
     duration timeout)
 {
     state& current = *state_;
+    const auto deadline = monotonic_clock::now() + timeout;
     while (current.conn && !current.parser->is_done())
     {
+        if (monotonic_clock::now() >= deadline)
+        {
+            close();
+            co_return fail(
+                result_code::stream_broken, "timeout within the body");
+        }
         auto& body = current.parser->get().body();
         body.data = current.read_buffer.data();
         body.size = current.read_buffer.size();
@@ -496,6 +523,7 @@
     const std::string expected(message.header(options.correlation_header));
     const auto beast_message = std::make_shared<beast_request>(
         to_beast_message(server, std::move(message)));
+    const auto deadline = monotonic_clock::now() + options.timeout;
     conn->stream.expires_after(options.timeout);
     if (options.before_write)
     {
@@ -507,7 +535,7 @@
         co_return fail(result_code::stream_broken, error.message());
     }
     const auto received = co_await opened->receive_response(
-        options.correlation_header, expected, state_->options.max_body_bytes);
+        options.correlation_header, expected, state_->options, deadline);
     if (!received)
     {
         co_return boost::outcome_v2::failure(received.error());
@@ -519,6 +547,7 @@
     address server, request message, duration timeout,
     std::shared_ptr<cancellation_handle> cancellation)
 {
+    const auto deadline = monotonic_clock::now() + timeout;
     open_options options{
         .timeout = timeout, .cancellation = std::move(cancellation)};
     auto opened = co_await open(
@@ -531,7 +560,8 @@
     response full_response = stream.head();
     for (;;)
     {
-        const auto part = co_await stream.read(timeout);
+        const auto part =
+            co_await stream.read(deadline - monotonic_clock::now());
         if (!part)
         {
             co_return boost::outcome_v2::failure(part.error());
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -29,7 +29,9 @@
     /// unacknowledged before the connection is closed. Zero leaves the system
     /// default.
     duration tcp_user_timeout{};
-    std::size_t max_body_bytes = std::size_t{64} * 1024 * 1024;
+    std::size_t max_header_bytes = std::size_t{8} * 1024;
+    /// A longer body, or a header that announces one, fails the request.
+    std::size_t max_body_bytes = std::size_t{16} * 1024 * 1024;
 };
 
 /// Cancels a request, whichever operation it is waiting for.
@@ -90,7 +92,10 @@
     [[nodiscard]] bool is_self_delimiting() const noexcept;
 
     /// Returns the next part of the body, or an empty view at its end. The view
-    /// is valid until the next call. @errors stream_broken
+    /// is valid until the next call.
+    /// @param timeout the call fails if it is not positive, also if data is
+    ///        available
+    /// @errors stream_broken
     asio::awaitable<result<std::string_view>> read(duration timeout);
 
     /// Closes the connection; a pending read fails with stream_broken.
@@ -111,8 +116,7 @@
     client(const client&) = delete;
     client& operator=(const client&) = delete;
 
-    /// Sends a request and reads the whole response. The timeout applies to the
-    /// response header and to each read of the body.
+    /// Sends a request and reads the whole response within the timeout.
     /// @errors upstream_unreachable: no connection; nothing was sent.
     ///         stream_broken: the server may have received the request.
     /// @param cancellation may be null
--- a/src/quarantine/test/crash_report_test.cpp
+++ b/src/quarantine/test/crash_report_test.cpp
@@ -21,8 +21,10 @@
 
 TEST(crash_report, many_reports_arrive_unchanged_in_small_datagrams)
 {
+    constexpr int count = 40;
     std::vector<crash_report> sent;
-    for (int number = 0; number < 40; ++number)
+    sent.reserve(count);
+    for (int number = 0; number < count; ++number)
     {
         sent.push_back(make_report(number));
     }
