--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -413,12 +413,9 @@
 
 void app::send(const std::string& datagram, engine_status::listener_role role)
 {
-    for (const auto& [vm, listener] : listeners_.entries())
+    for (const auto& address : listeners_.addresses(role))
     {
-        if (listener.role == role)
-        {
-            send(datagram, listener.address);
-        }
+        send(datagram, address);
     }
 }
 
--- a/src/engine_status/listener_directory.cpp
+++ b/src/engine_status/listener_directory.cpp
@@ -42,4 +42,18 @@
     }
 }
 
+std::vector<boost::asio::ip::udp::endpoint> listener_directory::addresses(
+    listener_role role, const vm_id& except) const
+{
+    std::vector<boost::asio::ip::udp::endpoint> found;
+    for (const auto& [vm, listener] : entries_)
+    {
+        if (listener.role == role && vm != except)
+        {
+            found.push_back(listener.address);
+        }
+    }
+    return found;
+}
+
 } // namespace wagtailseam::engine_status
--- a/src/engine_status/listener_directory.hpp
+++ b/src/engine_status/listener_directory.hpp
@@ -7,8 +7,8 @@
 
 #include <boost/asio/ip/udp.hpp>
 
-#include <cstddef>
 #include <map>
+#include <vector>
 
 namespace wagtailseam::engine_status
 {
@@ -32,6 +32,10 @@
     {
         return entries_;
     }
+    /// Returns the addresses of the processes with a role.
+    /// @param except a VM whose process is left out
+    [[nodiscard]] std::vector<boost::asio::ip::udp::endpoint> addresses(
+        listener_role role, const vm_id& except = {}) const;
 
 private:
     std::map<vm_id, entry> entries_;
--- a/src/gateway/crash_registry.hpp
+++ b/src/gateway/crash_registry.hpp
@@ -15,8 +15,7 @@
 
 /// Ignores crashes under a request that was completed recently: if many callers
 /// send equal requests, some of them run during every crash. Reads the clocks
-/// and logs each change that restricts a request. Not
-/// thread-safe.
+/// and logs each change that restricts a request. Not thread-safe.
 class crash_registry
 {
 public:
--- a/src/gateway/quarantine_sync.cpp
+++ b/src/gateway/quarantine_sync.cpp
@@ -96,15 +96,8 @@
     const std::vector<quarantine::crash_report>& reports,
     std::size_t max_receivers)
 {
-    std::vector<asio::ip::udp::endpoint> receivers;
-    for (const auto& [vm, listener] : listeners_.entries())
-    {
-        if (listener.role == engine_status::listener_role::gateway &&
-            vm != state_.settings.vm)
-        {
-            receivers.push_back(listener.address);
-        }
-    }
+    auto receivers = listeners_.addresses(
+        engine_status::listener_role::gateway, state_.settings.vm);
     for (std::size_t chosen = 0;
          chosen < std::min(max_receivers, receivers.size()); ++chosen)
     {
@@ -152,24 +145,16 @@
         const auto rows = co_await row_store_.read_table(quarantine_table);
         if (rows)
         {
-            for (const auto& row : rows.value().rows)
+            auto expired = apply_rows(rows.value());
+            telemetry::event("quarantine_read")
+                .with("rows", rows.value().rows.size())
+                .with("expired", expired.size());
+            if (!expired.empty())
             {
-                const auto record = quarantine::decode(row.value.value_or(""));
-                const auto key = digest::from_hex(
-                    row.key.substr(0, row.key.find(row_key_separator)));
-                if (!record || key == digest{})
-                {
-                    telemetry::event("quarantine_row_ignored")
-                        .with("row", row.key)
-                        .warning();
-                    continue;
-                }
-                state_.crashes.merge(
-                    {quarantine::request_fingerprint(key), record.value()},
-                    "store");
+                // Rows that remain are removed at a later start.
+                (void)co_await row_store_.write(
+                    quarantine_table, std::move(expired));
             }
-            telemetry::event("quarantine_read")
-                .with("rows", rows.value().rows.size());
             co_return;
         }
         timer.expires_after(read_retry_delay);
@@ -177,6 +162,36 @@
     }
 }
 
+std::vector<platform::row_change> quarantine_sync::apply_rows(
+    const platform::row_set& rows)
+{
+    std::vector<platform::row_change> expired;
+    for (const auto& row : rows.rows)
+    {
+        const auto record = quarantine::decode(row.value.value_or(""));
+        const auto key = digest::from_hex(
+            row.key.substr(0, row.key.find(row_key_separator)));
+        if (!record || key == digest{})
+        {
+            telemetry::event("quarantine_row_ignored")
+                .with("row", row.key)
+                .warning();
+            continue;
+        }
+        if (record.value().expires > wall_clock::now())
+        {
+            state_.crashes.merge(
+                {quarantine::request_fingerprint(key), record.value()},
+                "store");
+        }
+        else if (expired.size() < platform::max_transaction_rows)
+        {
+            expired.push_back({.key = row.key, .value = std::nullopt});
+        }
+    }
+    return expired;
+}
+
 std::string quarantine_sync::make_row_key(
     const quarantine::request_fingerprint& request) const
 {
--- a/src/gateway/quarantine_sync.hpp
+++ b/src/gateway/quarantine_sync.hpp
@@ -60,6 +60,9 @@
     [[nodiscard]] std::string make_row_key(
         const quarantine::request_fingerprint& request) const;
     asio::awaitable<void> read_rows();
+    /// Merges the records of rows. @return the removal of expired rows
+    [[nodiscard]] std::vector<platform::row_change> apply_rows(
+        const platform::row_set& rows);
     asio::awaitable<void> write_rows();
 
     asio::io_context& context_;
--- /dev/null
+++ b/src/gateway/request_handler_response.cpp
@@ -0,0 +1,205 @@
+// Responses of upstreams: refusals, failures, and the forwarding of bodies.
+#include "gateway/request_handler.hpp"
+
+#include <algorithm>
+
+namespace wagtailseam::gateway
+{
+namespace
+{
+
+/// Time to read the rest of a refusal, so that its connection can be reused.
+constexpr std::chrono::milliseconds refusal_body_timeout{120};
+/// A gap between events of this multiple of the maximum agreed gap ends the
+/// attempt of a stream. Callers disconnect at eight times the agreed gap.
+constexpr int event_gap_timeout_factor = 4;
+/// An event of a stream that is not complete after this number of bytes ends
+/// the attempt. Events contain a few tokens.
+constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
+constexpr unsigned status_server_error = 500;
+
+} // namespace
+
+serving::attempt_result request_handler::classify_refusal(
+    const serving::chosen_upstream& target,
+    const platform::upstream_response& response) const
+{
+    if (!response.misdirected)
+    {
+        return serving::refused_busy{response.retry_after};
+    }
+    const bool is_other_upstream =
+        response.instance && *response.instance != target.entry.id;
+    if (is_other_upstream || !request_.call.prompt)
+    {
+        return serving::misdirected{};
+    }
+    const auto& model = request_.call.prompt->model;
+    auto running_version = response.weights;
+    const auto weight_target = state_.weight_targets.find(model);
+    if (!running_version && weight_target != state_.weight_targets.end())
+    {
+        running_version = weight_target->second.version;
+    }
+    return serving::weights_differ{.model = model, .running = running_version};
+}
+
+asio::awaitable<request_handler::next_step> request_handler::handle_response(
+    const serving::chosen_upstream& target, http::response_stream stream)
+{
+    const auto response = platform::decode_response_head(stream.head());
+    if (response.not_run)
+    {
+        --record_.executions;
+        const auto refusal = classify_refusal(target, response);
+        end_attempt(target, refusal);
+        if (std::holds_alternative<serving::weights_differ>(refusal))
+        {
+            // The same upstream can serve the request with its current weights.
+            tried_upstreams_.erase(target.entry.id);
+        }
+        record_.code = response.misdirected ? result_code::upstream_refused
+                                            : result_code::upstream_busy;
+        // Reads the rest of the response, so that the connection can be reused.
+        (void)co_await stream.read(refusal_body_timeout);
+        co_return next_step::retry;
+    }
+    const bool is_server_error = stream.head().status >= status_server_error;
+    if (is_server_error && (may_retry() || response_head_sent_))
+    {
+        end_attempt(target, serving::response_failed{});
+        record_.code = result_code::outcome_unknown;
+        co_return may_retry() ? next_step::retry : next_step::give_up;
+    }
+    co_return co_await forward_response(target, stream);
+}
+
+asio::awaitable<void> request_handler::begin_response(
+    const http::response& upstream_head)
+{
+    finish_prefill(true);
+    if (!record_.first_byte)
+    {
+        record_.first_byte = monotonic_clock::now() - request_.received;
+    }
+    if (response_head_sent_)
+    {
+        co_return;
+    }
+    auto head = platform::strip_hop_by_hop_headers(upstream_head);
+    record_.status = head.status;
+    if (is_resumable_stream())
+    {
+        // Another upstream may continue the stream, so its length is unknown.
+        head.content_length.reset();
+    }
+    response_head_sent_ = true;
+    const auto begun = co_await exchange_.begin_stream(std::move(head));
+    caller_disconnected_ = caller_disconnected_ || !begun;
+}
+
+bool request_handler::is_resumable_stream() const
+{
+    return request_.route->kind == serving::route_kind::streaming &&
+           request_.route->resumable;
+}
+
+asio::awaitable<void> request_handler::forward_chunk(std::string_view chunk)
+{
+    std::string complete_events;
+    if (is_resumable_stream())
+    {
+        complete_events = event_splitter_.feed(chunk);
+        chunk = complete_events;
+    }
+    const auto written = co_await exchange_.write(chunk);
+    caller_disconnected_ = caller_disconnected_ || !written;
+}
+
+asio::awaitable<void> request_handler::end_response(
+    const serving::chosen_upstream& target, bool self_delimiting)
+{
+    const std::string incomplete_event = event_splitter_.partial();
+    (void)co_await exchange_.write(incomplete_event);
+    (void)co_await exchange_.end_stream();
+    if (record_.status < status_server_error)
+    {
+        end_attempt(target, serving::answered{});
+        record_.code = result_code::ok;
+        if (self_delimiting)
+        {
+            state_.crashes.record_completion(request_.fingerprint());
+        }
+        co_return;
+    }
+    end_attempt(target, serving::response_failed{});
+    record_.code = result_code::upstream_lost;
+}
+
+request_handler::next_step request_handler::handle_broken_response(
+    const serving::chosen_upstream& target)
+{
+    end_attempt(target, serving::response_failed{});
+    broken_attempt_ = broken_attempt{
+        .upstream = target.entry,
+        .timed_out = request_.time_left() <= duration::zero()};
+    record_.code = request_.time_left() <= duration::zero()
+                       ? result_code::deadline_passed
+                       : result_code::stream_broken;
+    event_splitter_.drop_partial();
+    return is_resumable_stream() && may_retry() ? next_step::retry
+                                                : next_step::give_up;
+}
+
+asio::awaitable<request_handler::next_step> request_handler::forward_response(
+    const serving::chosen_upstream& target, http::response_stream& stream)
+{
+    co_await begin_response(stream.head());
+    auto last_progress = monotonic_clock::now();
+    std::string last_event = event_splitter_.last_id();
+    while (!caller_disconnected_)
+    {
+        // Bytes that complete no event are no progress.
+        if (last_event != event_splitter_.last_id())
+        {
+            last_event = event_splitter_.last_id();
+            last_progress = monotonic_clock::now();
+        }
+        const duration event_time_left =
+            last_progress +
+            request_.route->max_event_gap * event_gap_timeout_factor -
+            monotonic_clock::now();
+        const duration limit =
+            is_resumable_stream() && may_retry()
+                ? std::min(request_.time_left(), event_time_left)
+                : request_.time_left();
+        if (event_splitter_.partial().size() > max_event_bytes)
+        {
+            failure_detail_ =
+                "event of over " + std::to_string(max_event_bytes) + " bytes";
+            co_return handle_broken_response(target);
+        }
+        const auto chunk = co_await stream.read(limit);
+        if (!chunk && caller_disconnected_)
+        {
+            break;
+        }
+        if (!chunk)
+        {
+            failure_detail_ = chunk.error().detail;
+            co_return handle_broken_response(target);
+        }
+        if (chunk.value().empty())
+        {
+            co_await end_response(target, stream.is_self_delimiting());
+            co_return next_step::finished;
+        }
+        co_await forward_chunk(chunk.value());
+    }
+    stream.close();
+    end_attempt(target, serving::abandoned{});
+    record_.code = result_code::caller_gone;
+    co_return next_step::finished;
+}
+
+} // namespace wagtailseam::gateway
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -60,7 +60,9 @@
     const request_fingerprint& request, const crash_id& crash, wall_time now)
 {
     const crash_record* const known = records_.find(request);
-    if (known != nullptr && known->crashes.contains(crash))
+    if (known != nullptr &&
+        (known->crashes.contains(crash) ||
+         known->crashes.size() >= options_.max_crashes_per_record))
     {
         return false;
     }
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -30,6 +30,9 @@
     /// crashes upstreams again until it is recognized.
     duration record_lifetime = std::chrono::hours(24);
     std::size_t max_records = 4096;
+    /// Further crashes of a request are ignored, so that its record fits into a
+    /// datagram.
+    std::size_t max_crashes_per_record = 16;
     int sends_per_change = 3;
 };
 
--- a/src/quarantine/test/request_quarantine_test.cpp
+++ b/src/quarantine/test/request_quarantine_test.cpp
@@ -94,6 +94,15 @@
     EXPECT_TRUE(std::holds_alternative<unrestricted>(check(hours(24))));
 }
 
+TEST_F(request_quarantine_fixture, record_keeps_a_limited_number_of_crashes)
+{
+    crash_times(100);
+    const auto datagrams = encode_datagrams(quarantine_.take_unsent());
+    ASSERT_EQ(datagrams.size(), 1U);
+    EXPECT_LE(datagrams[0].size(), 1400U);
+    EXPECT_TRUE(is_refused(check(seconds(5))));
+}
+
 TEST_F(request_quarantine_fixture, completed_run_clears_a_suspect)
 {
     crash_times(2);
