--- a/src/gateway/quarantine_sync.cpp
+++ b/src/gateway/quarantine_sync.cpp
@@ -25,7 +25,9 @@
 /// As many records as fit into one datagram.
 constexpr std::size_t repeated_records = 4;
 constexpr std::chrono::seconds read_retry_delay{1};
+/// The rows of other gateways change when VMs are added or replaced.
 constexpr std::chrono::seconds listener_poll_timeout{30};
+/// All processes of a deployment write their rows within seconds.
 constexpr std::chrono::seconds listener_batch_delay{5};
 /// Stands between the fingerprint and the VM in the key of a row.
 constexpr char row_key_separator = '@';
