Answer requests that arrive as the server stops

Cause: stop_accepting() shuts down the receiving side of connections without an exchange. A request whose bytes had already arrived was still read and sent to an upstream, but the watch for the caller's leaving saw the end that the server itself had made, and cancelled the attempt. The watch now ignores it.

Before: request_received_before_the_stop_is_answered_and_not_taken_for_abandoned failed. After: it passes, and a caller that leaves is still noticed.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -112,6 +112,9 @@
     server::state& owner;
     bool keep_alive = true;
     bool in_exchange = false;
+    /// This server has shut down the receiving side, so that its end says
+    /// nothing about the caller.
+    bool receive_shut_down = false;
 
     [[nodiscard]] bool closes_after_response() const noexcept
     {
@@ -231,10 +234,10 @@
     auto& socket = conn_.stream.socket();
     socket.async_wait(
         tcp::socket::wait_read,
-        [shared_callback = disconnect_callback_,
-         &socket](boost::system::error_code error)
+        [shared_callback = disconnect_callback_, &socket,
+         &conn = conn_](boost::system::error_code error)
         {
-            if (error || !*shared_callback)
+            if (error || !*shared_callback || conn.receive_shut_down)
             {
                 return;
             }
@@ -414,6 +417,7 @@
     {
         if (!conn->in_exchange)
         {
+            conn->receive_shut_down = true;
             conn->stream.socket().shutdown(
                 tcp::socket::shutdown_receive, ignored);
         }
