Log the outcome of each read and removal of crash records

Found in the read-through: a failed read at the start was tried again, and a failed removal of expired rows dropped, without a log line. Decisions are unchanged.

--- a/src/gateway/quarantine_sync.cpp
+++ b/src/gateway/quarantine_sync.cpp
@@ -32,6 +32,14 @@
 /// Stands between the fingerprint and the VM in the key of a row.
 constexpr char row_key_separator = '@';
 
+void log_store_outcome(
+    std::string_view event_name,
+    const result<platform::store_position>& outcome)
+{
+    telemetry::event(event_name)
+        .with("outcome", outcome ? "written" : outcome.error().detail);
+}
+
 } // namespace
 
 quarantine_sync::quarantine_sync(
@@ -154,11 +162,15 @@
             if (!expired.empty())
             {
                 // Rows that remain are removed at a later start.
-                (void)co_await row_store_.write(
+                const auto removed = co_await row_store_.write(
                     quarantine_table, std::move(expired));
+                log_store_outcome("quarantine_rows_removed", removed);
             }
             co_return;
         }
+        telemetry::event("quarantine_read_failed")
+            .with("detail", rows.error().detail)
+            .warning();
         timer.expires_after(read_retry_delay);
         co_await timer.async_wait(completion);
     }
@@ -229,9 +241,7 @@
     {
         quarantine.return_unwritten(reports);
     }
-    telemetry::event("quarantine_written")
-        .with("rows", reports.size())
-        .with("outcome", written ? "written" : written.error().detail);
+    log_store_outcome("quarantine_written", written);
 }
 
 } // namespace wagtailseam::gateway
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -60,7 +60,7 @@
     /// @return whether it had any
     bool record_completion(const request_fingerprint& request);
     /// Merges a record of another process or of the store.
-    /// @return whether it contained news
+    /// @return whether the known record changed
     bool merge(const crash_report& report, wall_time now);
 
     /// Returns false if no request can be suspect, so that callers need not
