--- a/src/gateway/quarantine_sync.cpp
+++ b/src/gateway/quarantine_sync.cpp
@@ -33,10 +33,11 @@
 constexpr char row_key_separator = '@';
 
 void log_store_outcome(
-    std::string_view event_name,
+    std::string_view event_name, std::size_t rows,
     const result<platform::store_position>& outcome)
 {
     telemetry::event(event_name)
+        .with("rows", rows)
         .with("outcome", outcome ? "written" : outcome.error().detail);
 }
 
@@ -162,9 +163,10 @@
             if (!expired.empty())
             {
                 // Rows that remain are removed at a later start.
+                const auto count = expired.size();
                 const auto removed = co_await row_store_.write(
                     quarantine_table, std::move(expired));
-                log_store_outcome("quarantine_rows_removed", removed);
+                log_store_outcome("quarantine_rows_removed", count, removed);
             }
             co_return;
         }
@@ -241,7 +243,7 @@
     {
         quarantine.return_unwritten(reports);
     }
-    log_store_outcome("quarantine_written", written);
+    log_store_outcome("quarantine_written", reports.size(), written);
 }
 
 } // namespace wagtailseam::gateway
