Log each request that tries a content under suspicion

Whether a request was a trial could only be told from the crash records of its gateway at that moment. The line names the request and the content.

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -249,6 +249,12 @@
     {
         trial_suspects_ = state_.crashes.quarantine().begin_trial(
             request_.content(), wall_clock::now());
+        for (const auto& content : trial_suspects_)
+        {
+            telemetry::event("trial_started")
+                .with("request", request_.call.id)
+                .with("content", short_name(content));
+        }
     }
     return true;
 }
