Claim the trial of a suspect request among all gateways

Cause: a content with two crashes is tried once after a pause of 5 s, but by each gateway for itself. The pause ends everywhere at the same time, and Retry-After brings the callers back at that moment.

Without the store there is no trial. Turns by the clock, as for parts, were weighed: the caller of a request returns to some gateway once or twice and would rarely meet its turn.

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -175,10 +175,15 @@
             record_.code = result_code::caller_gone;
             co_return;
         }
-        if (!may_start_attempt())
+        if (!co_await may_start_attempt())
         {
             break;
         }
+        if (caller_disconnected_)
+        {
+            // The caller left while the trial was claimed.
+            continue;
+        }
         const auto selection = state_.upstreams.choose(
             make_upstream_query(
                 state_, request_, tried_upstreams_, record_.executions == 0),
@@ -225,18 +230,64 @@
     co_await send_final_error();
 }
 
-bool request_handler::may_start_attempt()
+asio::awaitable<bool> request_handler::may_start_attempt()
 {
     end_trial();
     if (request_.time_left() <= duration::zero())
     {
         record_.code = result_code::deadline_passed;
-        return false;
+        co_return false;
     }
     if (!state_.crashes.quarantine().has_records())
     {
-        return true;
+        co_return true;
+    }
+    if (!check_quarantine())
+    {
+        co_return false;
+    }
+    if (needs_trial_claim())
+    {
+        const auto request = request_.content().request;
+        trial_claimed_ = co_await state_.claim_trial(request);
+        end_trial();
+        if (!trial_claimed_)
+        {
+            state_.crashes.quarantine().defer_trial(request, wall_clock::now());
+        }
+        // Records may have arrived meanwhile.
+        if (!check_quarantine())
+        {
+            co_return false;
+        }
+        if (request_.time_left() <= duration::zero())
+        {
+            record_.code = result_code::deadline_passed;
+            co_return false;
+        }
+    }
+    for (const auto& content : trial_suspects_)
+    {
+        telemetry::event("trial_started")
+            .with("request", request_.call.id)
+            .with("content", short_name(content));
     }
+    co_return true;
+}
+
+bool request_handler::needs_trial_claim() const
+{
+    const bool is_trial =
+        std::find(
+            trial_suspects_.begin(), trial_suspects_.end(),
+            request_.content().request) != trial_suspects_.end();
+    // A refusal by an upstream does not use the claim up.
+    const bool has_claim = trial_claimed_ && record_.executions == 0;
+    return is_trial && !has_claim;
+}
+
+bool request_handler::check_quarantine()
+{
     const auto status = state_.crashes.check(request_.content());
     if (const auto* const refusal =
             std::get_if<quarantine::quarantined>(&status))
@@ -249,12 +300,6 @@
     {
         trial_suspects_ = state_.crashes.quarantine().begin_trial(
             request_.content(), wall_clock::now());
-        for (const auto& content : trial_suspects_)
-        {
-            telemetry::event("trial_started")
-                .with("request", request_.call.id)
-                .with("content", short_name(content));
-        }
     }
     return true;
 }
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -80,8 +80,13 @@
     asio::awaitable<bool> wait_for_upstream();
     /// Returns whether the request may be sent to an upstream, as far as its
     /// deadline and its crash record are concerned. Otherwise sets the result
-    /// code.
-    [[nodiscard]] bool may_start_attempt();
+    /// code. Claims the trial of a suspect request.
+    asio::awaitable<bool> may_start_attempt();
+    /// Returns whether the request's crash record allows it to run, and begins
+    /// the trial of a suspect. Otherwise sets the result code.
+    [[nodiscard]] bool check_quarantine();
+    /// Returns whether the attempt is a trial that this gateway has to claim.
+    [[nodiscard]] bool needs_trial_claim() const;
     /// Ends the trial of a suspect.
     void end_trial();
     /// Records that the attempt broke off, and finds out whether its upstream
@@ -128,6 +133,8 @@
     std::string failure_detail_;
     /// The contents of which the current attempt is a trial.
     std::vector<quarantine::content_fingerprint> trial_suspects_;
+    /// Whether this request holds the claim of its trial.
+    bool trial_claimed_ = false;
     bool caller_disconnected_ = false;
     bool response_head_sent_ = false;
     /// When the current attempt times out if the response has not begun.
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -13,6 +13,8 @@
 #include "telemetry/log_rate_limiter.hpp"
 #include "telemetry/metrics.hpp"
 
+#include <boost/asio/awaitable.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -55,6 +57,12 @@
     /// When the operator's table was last read, or reported as unchanged.
     mono_time operator_table_read_at;
     crash_registry crashes;
+    /// Claims the only trial of a suspect request among all gateways. Returns
+    /// whether this gateway may run it.
+    std::function<boost::asio::awaitable<bool>(
+        const quarantine::content_fingerprint&)>
+        claim_trial = [](const auto&) -> boost::asio::awaitable<bool>
+    { co_return true; };
     /// Retry budgets by service.
     std::map<serving::service_id, retry::retry_budget> retry_budgets;
     telemetry::metrics metrics;
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -90,6 +90,7 @@
           context, state, row_store_,
           [this](const auto& datagram, const auto& receiver)
           { send_datagram(datagram, receiver); }),
+      trial_claims_(context, state, row_store_),
       cache_store_client_(
           context.get_executor(),
           {.connect_timeout = store_connect_timeout,
@@ -103,6 +104,7 @@
     operator_table_.start();
     upstream_table_.start();
     quarantine_sync_.start();
+    trial_claims_.start();
     asio::co_spawn(
         context_,
         engine_status::register_listener(
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -5,6 +5,7 @@
 
 #include "gateway/quarantine_sync.hpp"
 #include "gateway/shared_state.hpp"
+#include "gateway/trial_claims.hpp"
 #include "http/client.hpp"
 #include "platform/row_store_client.hpp"
 #include "platform/table_watcher.hpp"
@@ -85,6 +86,7 @@
     platform::table_watcher upstream_table_;
     asio::ip::udp::socket agent_socket_;
     quarantine_sync quarantine_sync_;
+    trial_claims trial_claims_;
     http::client cache_store_client_;
     /// Agent incarnation and sequence number of the last status of each engine.
     std::map<upstream_id, std::pair<std::uint64_t, std::uint64_t>> last_status_;
--- /dev/null
+++ b/src/gateway/trial_claims.cpp
@@ -0,0 +1,145 @@
+// Conditional writes and the removal of claims.
+#include "gateway/trial_claims.hpp"
+
+#include "telemetry/event_log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace wagtailseam::gateway
+{
+
+namespace
+{
+
+/// Limits the writes of a start. A later start removes the other claims.
+constexpr std::size_t max_removals = 100;
+
+} // namespace
+
+using quarantine::content_fingerprint;
+using quarantine::trial_claim;
+
+trial_claims::trial_claims(
+    asio::io_context& context, shared_state& state,
+    platform::row_store_client& row_store)
+    : context_(context), state_(state), row_store_(row_store)
+{
+}
+
+void trial_claims::start()
+{
+    state_.claim_trial = [this](const content_fingerprint& content)
+    { return claim(content); };
+    asio::co_spawn(context_, remove_expired(), asio::detached);
+}
+
+asio::awaitable<bool> trial_claims::claim(content_fingerprint content)
+{
+    const auto outcome = co_await write_claim(content.value().hex());
+    telemetry::event("trial_claim")
+        .with("content", short_name(content))
+        .with("outcome", outcome.claimed ? "claimed" : outcome.detail);
+    co_return outcome.claimed;
+}
+
+asio::awaitable<trial_claims::claim_outcome> trial_claims::write_claim(
+    std::string key)
+{
+    const auto now = wall_clock::now();
+    const trial_claim wanted{
+        .gateway = state_.settings.vm,
+        .expires = now + quarantine::trial_claim_time};
+    // Most contents have no row yet.
+    platform::store_version expected{0};
+    claim_outcome outcome;
+    // The second write replaces a claim that has expired.
+    for (int write = 0; write < 2; ++write)
+    {
+        const platform::row_change change{.key = key, .value = encode(wanted)};
+        const auto written =
+            co_await row_store_.write_if(trial_table, change, expected);
+        if (!written)
+        {
+            outcome.detail = written.error().detail;
+            co_return outcome;
+        }
+        const auto* const conflict =
+            std::get_if<platform::write_conflict>(&written.value());
+        if (conflict == nullptr)
+        {
+            outcome.claimed = true;
+            co_return outcome;
+        }
+        const auto holder = find_holder(*conflict);
+        outcome.detail =
+            "held by " + (holder ? holder->gateway.value() : "unknown");
+        if (!conflict->current || (holder && is_held(*holder, now)))
+        {
+            co_return outcome;
+        }
+        expected = conflict->current->version;
+    }
+    co_return outcome;
+}
+
+std::optional<trial_claim> trial_claims::find_holder(
+    const platform::write_conflict& conflict)
+{
+    if (!conflict.current)
+    {
+        return std::nullopt;
+    }
+    const auto decoded =
+        quarantine::decode_trial_claim(conflict.current->value.value_or(""));
+    if (!decoded)
+    {
+        telemetry::event("trial_claim_ignored")
+            .with("row", conflict.current->key)
+            .with("detail", decoded.error().detail)
+            .warning();
+        return std::nullopt;
+    }
+    return decoded.value();
+}
+
+asio::awaitable<void> trial_claims::remove_expired()
+{
+    const auto rows = co_await row_store_.read_table(trial_table);
+    if (!rows)
+    {
+        // The rows are small, and a later start removes them.
+        telemetry::event("trial_claims_read_failed")
+            .with("detail", rows.error().detail);
+        co_return;
+    }
+    std::size_t removals = 0;
+    for (const auto& row : rows.value().rows)
+    {
+        const auto claim =
+            quarantine::decode_trial_claim(row.value.value_or(""));
+        const bool held = claim && is_held(claim.value(), wall_clock::now());
+        if (held || removals >= max_removals)
+        {
+            continue;
+        }
+        ++removals;
+        // Another gateway may have claimed the trial since.
+        const platform::row_change removal{
+            .key = row.key, .value = std::nullopt};
+        const auto removed =
+            co_await row_store_.write_if(trial_table, removal, row.version);
+        if (!removed)
+        {
+            telemetry::event("trial_claim_not_removed")
+                .with("row", row.key)
+                .with("detail", removed.error().detail);
+            co_return;
+        }
+    }
+    telemetry::event("trial_claims_read")
+        .with("rows", rows.value().rows.size())
+        .with("expired", removals);
+}
+
+} // namespace wagtailseam::gateway
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -65,7 +65,12 @@
     {
         return unrestricted{};
     }
-    const auto next_trial = last_crash(*record) + options_.trial_delay;
+    auto next_trial = last_crash(*record) + options_.trial_delay;
+    const auto deferred = deferred_trials_.find(request);
+    if (deferred != deferred_trials_.end())
+    {
+        next_trial = std::max(next_trial, deferred->second);
+    }
     if (now < next_trial)
     {
         return quarantined{next_trial, request};
@@ -171,6 +176,12 @@
     }
 }
 
+void request_quarantine::defer_trial(
+    const content_fingerprint& request, wall_time now)
+{
+    deferred_trials_.insert_or_assign(request, now + options_.trial_delay);
+}
+
 bool request_quarantine::record_crash(
     const crash_suspect& suspect, const crash_id& crash, wall_time now)
 {
@@ -318,6 +329,9 @@
     std::erase_if(
         written_here_, [&](const content_fingerprint& request)
         { return records_.find(request) == nullptr; });
+    std::erase_if(
+        deferred_trials_,
+        [&](const auto& entry) { return entry.second <= now; });
 }
 
 } // namespace wagtailseam::quarantine
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -78,6 +78,9 @@
     [[nodiscard]] std::vector<content_fingerprint> begin_trial(
         const request_content& content, wall_time now);
     void end_trial(const std::vector<content_fingerprint>& suspects);
+    /// Refuses a suspect request for the usual delay of a trial, since another
+    /// gateway may be trying it.
+    void defer_trial(const content_fingerprint& request, wall_time now);
     void set_trial_turn(const trial_turn& turn) noexcept { turn_ = turn; }
 
     /// Records a crash of an upstream that executed the suspect.
@@ -122,7 +125,7 @@
     /// may have lost them.
     void rewrite_all();
 
-    /// Removes expired records.
+    /// Removes expired records and deferrals that have ended.
     void remove_expired(wall_time now);
 
 private:
@@ -150,6 +153,8 @@
     trial_turn turn_;
     /// Suspects that this process is running.
     std::set<content_fingerprint> trials_;
+    /// Earliest times of trials that other gateways may have claimed.
+    std::map<content_fingerprint, wall_time> deferred_trials_;
     /// How often each changed record is still to be sent; at least once.
     std::map<content_fingerprint, int> unsent_;
     std::set<content_fingerprint> unwritten_;
--- a/src/quarantine/test/request_quarantine_test.cpp
+++ b/src/quarantine/test/request_quarantine_test.cpp
@@ -88,6 +88,18 @@
     EXPECT_TRUE(is_suspect(check(seconds(5))));
 }
 
+TEST_F(
+    request_quarantine_fixture, deferred_trial_is_refused_for_the_usual_delay)
+{
+    crash_times(2);
+    quarantine_.defer_trial(request_, now_ + seconds(5));
+    EXPECT_TRUE(is_refused(check(seconds(9))));
+    EXPECT_TRUE(is_suspect(check(seconds(10))));
+    quarantine_.defer_trial(request_, now_ + seconds(10));
+    quarantine_.record_completion(request_);
+    EXPECT_TRUE(std::holds_alternative<unrestricted>(check(seconds(11))));
+}
+
 TEST_F(request_quarantine_fixture, third_crash_quarantines_until_expiry)
 {
     crash_times(3);
