Write crash records of which each gateway saw one crash

Now each gateway that changed a record writes it once it is of several crashes, whoever reported them.

The new test failed before: nothing was returned to be written.

--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -238,11 +238,9 @@
 void request_quarantine::mark_changed(const content_fingerprint& request)
 {
     unsent_.insert_or_assign(request, options_.sends_per_change);
-    if (is_repeated(*records_.find(request)))
-    {
-        written_here_.insert(request);
-        unwritten_.insert(request);
-    }
+    // Others may report the crashes that make it a repeated one.
+    written_here_.insert(request);
+    unwritten_.insert(request);
 }
 
 bool request_quarantine::is_repeated(const crash_record& record) const
@@ -301,7 +299,8 @@
     std::vector<crash_report> reports;
     for (const auto& request : std::exchange(unwritten_, {}))
     {
-        if (const crash_record* const record = records_.find(request))
+        const crash_record* const record = records_.find(request);
+        if (record != nullptr && is_repeated(*record))
         {
             reports.emplace_back(request, *record);
         }
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -158,7 +158,8 @@
     /// How often each changed record is still to be sent; at least once.
     std::map<content_fingerprint, int> unsent_;
     std::set<content_fingerprint> unwritten_;
-    /// Records that this process has to keep up to date in the store.
+    /// Records that this process changed and, once they are of several crashes,
+    /// has to keep up to date in the store.
     std::set<content_fingerprint> written_here_;
     /// The last record that next_repeated() returned.
     std::optional<content_fingerprint> last_repeated_;
--- a/src/quarantine/test/request_quarantine_test.cpp
+++ b/src/quarantine/test/request_quarantine_test.cpp
@@ -187,6 +187,22 @@
     EXPECT_EQ(quarantine_.take_unwritten().size(), 1U);
 }
 
+/// Guards against a record that no gateway writes, because each saw one crash.
+TEST_F(
+    request_quarantine_fixture,
+    record_that_another_gateway_completes_is_written_by_those_that_changed_it)
+{
+    crash_times(1);
+    EXPECT_TRUE(quarantine_.take_unwritten().empty());
+    request_quarantine other;
+    other.record_crash({request_}, crash(9), now_);
+    quarantine_.merge(other.take_unsent().at(0), now_);
+    EXPECT_EQ(quarantine_.take_unwritten().size(), 1U);
+    request_quarantine third;
+    third.merge(quarantine_.take_unsent().at(0), now_);
+    EXPECT_TRUE(third.take_unwritten().empty());
+}
+
 TEST_F(
     request_quarantine_fixture,
     written_records_are_written_again_after_the_store_was_restored)
