Count the runs that end with a crash, not only the crashed upstreams

The gateways counted upstreams, so that several runs of a request at one upstream were one crash to them, and the request stayed unrestricted.

Now a record of a request also names the runs, by crash and hash of the request's id. Three of them make it a suspect like two crashes do. Parts are still judged by crashes: requests that share a part end together all the time.

--- a/src/gateway/crash_registry.cpp
+++ b/src/gateway/crash_registry.cpp
@@ -15,11 +15,14 @@
 using quarantine::upstream_process;
 
 bool crash_registry::record_broken_attempt(
-    const upstream_process& process, const request_content& content)
+    const upstream_process& process, const request_id& request,
+    const request_content& content)
 {
     const auto now = monotonic_clock::now();
     const broken_attempt attempt{
-        .suspects = completions_.suspects(content, now), .broken_at = now};
+        .suspects = completions_.suspects(content, now),
+        .broken_at = now,
+        .request = request};
     const bool ended = attribution_.record_broken_attempt(process, attempt);
     if (ended)
     {
@@ -39,7 +42,7 @@
     {
         const bool is_new =
             completions_.completed_at(suspect) <= attempt.broken_at &&
-            quarantine_.record_crash(suspect, crash, now);
+            quarantine_.record_crash(suspect, crash, now, attempt.request);
         if (is_new)
         {
             log_restriction(suspect, source);
@@ -137,12 +140,12 @@
     {
         return;
     }
+    const auto& record = *quarantine_.find(suspect.content);
     telemetry::event("request_quarantined")
         .with("content", short_name(suspect.content))
         .with("kind", name(suspect.kind))
-        .with(
-            "crashes",
-            quarantine_.find(suspect.content)->uncleared_crash_count())
+        .with("crashes", record.uncleared_crash_count())
+        .with("runs", record.runs.size())
         .with("source", source)
         .with("for_us", (refusal->until - wall_clock::now()).count())
         .warning();
--- a/src/gateway/crash_registry.hpp
+++ b/src/gateway/crash_registry.hpp
@@ -23,7 +23,7 @@
     /// upstream's process would explain.
     /// @return whether the process is known to have ended
     bool record_broken_attempt(
-        const quarantine::upstream_process& process,
+        const quarantine::upstream_process& process, const request_id& request,
         const quarantine::request_content& content);
     /// @param source how the end was observed, for the log
     void record_process_end(
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -318,8 +318,8 @@
     }
     const quarantine::upstream_process process{
         broken->upstream.id, broken->upstream.started_ms};
-    const bool known_to_have_ended =
-        state_.crashes.record_broken_attempt(process, request_.content());
+    const bool known_to_have_ended = state_.crashes.record_broken_attempt(
+        process, request_.call.id, request_.content());
     // A crashed process that does not even refuse connections is recognized
     // when its successor is listed.
     if (known_to_have_ended || broken->timed_out)
--- a/src/quarantine/crash_attribution.hpp
+++ b/src/quarantine/crash_attribution.hpp
@@ -65,6 +65,7 @@
 {
     std::vector<crash_suspect> suspects;
     mono_time broken_at;
+    request_id request{};
 
     friend bool operator==(const broken_attempt&, const broken_attempt&) =
         default;
--- a/src/quarantine/crash_record_cache.cpp
+++ b/src/quarantine/crash_record_cache.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace wagtailseam::quarantine
 {
@@ -13,6 +14,7 @@
 
 using json = nlohmann::json;
 
+constexpr const char* runs_field = "runs";
 /// Rows of requests have no kind.
 constexpr const char* kind_field = "kind";
 
@@ -31,6 +33,32 @@
     return array;
 }
 
+json runs_to_json(const std::set<crashed_run>& runs)
+{
+    json array = json::array();
+    for (const auto& [crash, request] : runs)
+    {
+        array.push_back(json::array({crash.value(), request}));
+    }
+    return array;
+}
+
+/// Rows without runs are valid.
+bool read_runs(const json& object, crash_record& record)
+{
+    for (const json& run : object.value(runs_field, json::array()))
+    {
+        if (!run.is_array() || run.size() != 2 || !run[0].is_string() ||
+            !run[1].is_string())
+        {
+            return false;
+        }
+        record.add_run(
+            {crash_id(run[0].get<std::string>()), run[1].get<std::string>()});
+    }
+    return true;
+}
+
 bool read_ids(const json& object, const char* name, std::set<crash_id>& ids)
 {
     const auto found = object.find(name);
@@ -98,6 +126,12 @@
         std::to_string(start_number));
 }
 
+crashed_run make_crashed_run(const crash_id& crash, const request_id& request)
+{
+    constexpr std::size_t kept_digits = 8;
+    return {crash, sha256(request.value()).hex().substr(0, kept_digits)};
+}
+
 std::size_t crash_record::uncleared_crash_count() const
 {
     const auto count = std::count_if(
@@ -111,13 +145,35 @@
     const crash_record before = *this;
     crashes.insert(other.crashes.begin(), other.crashes.end());
     cleared.insert(other.cleared.begin(), other.cleared.end());
+    runs.insert(other.runs.begin(), other.runs.end());
+    prune_runs();
     expires = std::max(expires, other.expires);
     return !(*this == before);
 }
 
+bool crash_record::add_run(const crashed_run& run)
+{
+    const auto before = runs;
+    runs.insert(run);
+    prune_runs();
+    return runs != before;
+}
+
 void crash_record::clear_crashes()
 {
     cleared.insert(crashes.begin(), crashes.end());
+    prune_runs();
+}
+
+void crash_record::prune_runs()
+{
+    std::erase_if(
+        runs,
+        [this](const crashed_run& run) { return cleared.contains(run.crash); });
+    while (runs.size() > max_runs_per_record)
+    {
+        runs.erase(std::prev(runs.end()));
+    }
 }
 
 std::string encode(const crash_record& record)
@@ -130,6 +186,10 @@
     {
         row[kind_field] = name(record.kind);
     }
+    if (!record.runs.empty())
+    {
+        row[runs_field] = runs_to_json(record.runs);
+    }
     return row.dump();
 }
 
@@ -138,11 +198,11 @@
     const json row = json::parse(value, nullptr, false);
     crash_record record;
     if (!row.is_object() || !read_ids(row, "strikes", record.crashes) ||
-        !read_ids(row, "cleared", record.cleared))
+        !read_ids(row, "cleared", record.cleared) || !read_runs(row, record))
     {
         return fail(
             result_code::malformed_message,
-            "quarantine row lacks valid strikes or cleared");
+            "quarantine row lacks valid strikes, cleared or runs");
     }
     const auto expires = row.find("expires_us");
     if (expires == row.end() || !expires->is_number_integer())
--- a/src/quarantine/crash_record_cache.hpp
+++ b/src/quarantine/crash_record_cache.hpp
@@ -20,6 +20,9 @@
 namespace wagtailseam::quarantine
 {
 
+/// Further runs that ended with crashes do not change how a request is judged.
+inline constexpr std::size_t max_runs_per_record = 4;
+
 /// Identifies the content of a request of a workspace, or a part of a prompt,
 /// without revealing it. Requests that repeat it under other ids have the same
 /// fingerprint.
@@ -75,12 +78,31 @@
     const upstream_id& upstream, incarnation sidecar,
     std::uint64_t start_number);
 
+/// One run of a request that ended with a crash. An upstream may execute a
+/// request several times at once for different callers.
+struct crashed_run
+{
+    crash_id crash;
+    /// First digits of the hash of the request's id, whose length and content
+    /// callers choose.
+    std::string request;
+
+    friend bool operator==(const crashed_run&, const crashed_run&) = default;
+    friend auto operator<=>(const crashed_run&, const crashed_run&) = default;
+};
+
+[[nodiscard]] crashed_run make_crashed_run(
+    const crash_id& crash, const request_id& request);
+
 /// The crashes during which one request, or one part of prompts, was running.
-/// Both sets only grow, so the order of merges does not matter.
+/// The sets of crashes only grow, so the order of merges does not matter.
 struct crash_record
 {
     suspect_kind kind = suspect_kind::request;
     std::set<crash_id> crashes;
+    /// Runs that ended with uncleared crashes, for requests.
+    /// @invariant the first max_runs_per_record of those merged
+    std::set<crashed_run> runs;
     /// Crashes that no longer count against the prompt, because an operator
     /// cleared them or a later run finished.
     std::set<crash_id> cleared;
@@ -88,12 +110,17 @@
 
     /// Returns the number of crashes that are not cleared.
     [[nodiscard]] std::size_t uncleared_crash_count() const;
+    /// Adds a run that ended with a crash. @return whether it was unknown
+    bool add_run(const crashed_run& run);
     /// Merges the other record into this one. @return whether this one changed.
     bool merge(const crash_record& other);
     /// Marks all crashes in this record as cleared.
     void clear_crashes();
 
     friend bool operator==(const crash_record&, const crash_record&) = default;
+
+private:
+    void prune_runs();
 };
 
 /// The prompt may run on any upstream.
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -32,6 +32,7 @@
 {
     BOOST_ASSERT(options.crashes_to_suspect >= 1);
     BOOST_ASSERT(options.crashes_to_suspect <= options.crashes_to_quarantine);
+    BOOST_ASSERT(options.runs_to_suspect <= max_runs_per_record);
     BOOST_ASSERT(options.trial_delay <= options.record_lifetime);
     BOOST_ASSERT(
         options.max_crashes_per_record <= options.crashes_to_quarantine + 16);
@@ -61,7 +62,8 @@
     {
         return quarantined{record->expires, request};
     }
-    if (crashes < options_.crashes_to_suspect)
+    if (crashes < options_.crashes_to_suspect &&
+        record->runs.size() < options_.runs_to_suspect)
     {
         return unrestricted{};
     }
@@ -183,20 +185,31 @@
 }
 
 bool request_quarantine::record_crash(
-    const crash_suspect& suspect, const crash_id& crash, wall_time now)
+    const crash_suspect& suspect, const crash_id& crash, wall_time now,
+    const std::optional<request_id>& request)
 {
-    const crash_record* const known = records_.find(suspect.content);
-    if (known != nullptr &&
-        (known->crashes.contains(crash) ||
-         known->crashes.size() >= options_.max_crashes_per_record))
+    crash_record observed{
+        .kind = suspect.kind,
+        .crashes = {crash},
+        .expires = now + options_.record_lifetime};
+    if (request && suspect.kind == suspect_kind::request)
     {
-        return false;
+        observed.add_run(make_crashed_run(crash, *request));
+    }
+    if (const crash_record* const known = records_.find(suspect.content))
+    {
+        const bool is_full =
+            known->crashes.size() >= options_.max_crashes_per_record;
+        crash_record merged = *known;
+        (void)merged.merge(observed);
+        const bool is_new =
+            merged.crashes != known->crashes || merged.runs != known->runs;
+        if (!is_new || is_full)
+        {
+            return false;
+        }
     }
-    records_.merge(
-        suspect.content, {.kind = suspect.kind,
-                          .crashes = {crash},
-                          .cleared = {},
-                          .expires = now + options_.record_lifetime});
+    records_.merge(suspect.content, observed);
     mark_changed(suspect.content);
     return true;
 }
@@ -245,7 +258,8 @@
 
 bool request_quarantine::is_repeated(const crash_record& record) const
 {
-    return record.crashes.size() >= options_.crashes_to_suspect;
+    return record.crashes.size() >= options_.crashes_to_suspect ||
+           record.runs.size() >= options_.runs_to_suspect;
 }
 
 std::vector<crash_report> request_quarantine::take_unsent()
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -23,6 +23,9 @@
     /// crash does not count against a request, because all requests that ran
     /// beside it on the upstream have the same crash on record.
     std::size_t crashes_to_suspect = 2;
+    /// Runs that ended with uncleared crashes after which a request may only
+    /// run as a trial, even if a single upstream crashed under all of them.
+    std::size_t runs_to_suspect = 3;
     /// Uncleared crashes after which a request is refused until the record
     /// expires, and a part until its trial.
     std::size_t crashes_to_quarantine = 3;
@@ -84,9 +87,11 @@
     void set_trial_turn(const trial_turn& turn) noexcept { turn_ = turn; }
 
     /// Records a crash of an upstream that executed the suspect.
-    /// @return whether this crash was unknown
+    /// @param request the request that it executed, if the suspect is one
+    /// @return whether this crash, or this run, was unknown
     bool record_crash(
-        const crash_suspect& suspect, const crash_id& crash, wall_time now);
+        const crash_suspect& suspect, const crash_id& crash, wall_time now,
+        const std::optional<request_id>& request = std::nullopt);
     /// Clears the known crashes of a content, since an upstream completed it.
     /// @return whether it had any
     bool record_completion(const content_fingerprint& content);
@@ -145,6 +150,8 @@
     }
     [[nodiscard]] wall_time next_part_trial(const crash_record& record) const;
     [[nodiscard]] bool is_own_turn(wall_time now) const;
+    /// Returns whether the crashes, cleared or not, suffice to suspect a
+    /// request or may soon suffice for a part.
     [[nodiscard]] bool is_repeated(const crash_record& record) const;
     void mark_changed(const content_fingerprint& request);
 
@@ -158,8 +165,8 @@
     /// How often each changed record is still to be sent; at least once.
     std::map<content_fingerprint, int> unsent_;
     std::set<content_fingerprint> unwritten_;
-    /// Records that this process changed and, once they are of several crashes,
-    /// has to keep up to date in the store.
+    /// Records that this process changed and, once they are of several crashes
+    /// or runs, has to keep up to date in the store.
     std::set<content_fingerprint> written_here_;
     /// The last record that next_repeated() returned.
     std::optional<content_fingerprint> last_repeated_;
--- a/src/quarantine/test/crash_report_test.cpp
+++ b/src/quarantine/test/crash_report_test.cpp
@@ -15,6 +15,7 @@
     return {
         content_fingerprint(sha256(std::to_string(number))),
         {.crashes = {crash_id("i-00000001/1733300000000"), crash_id("b/2")},
+         .runs = {{crash_id("i-00000001/1733300000000"), "01234567"}},
          .cleared = {crash_id("b/2")},
          .expires = wall_time(std::chrono::hours(9))}};
 }
--- a/src/quarantine/test/request_quarantine_test.cpp
+++ b/src/quarantine/test/request_quarantine_test.cpp
@@ -88,6 +88,59 @@
     EXPECT_TRUE(is_suspect(check(seconds(5))));
 }
 
+/// Guards against counting crashed upstreams instead of runs that ended.
+TEST_F(
+    request_quarantine_fixture, three_runs_that_end_with_one_crash_are_suspect)
+{
+    for (const char* const id : {"r1", "r2"})
+    {
+        quarantine_.record_crash({request_}, crash(1), now_, request_id(id));
+        EXPECT_TRUE(std::holds_alternative<unrestricted>(check()));
+    }
+    request_quarantine other;
+    other.record_crash({request_}, crash(1), now_, request_id("r3"));
+    quarantine_.merge(other.take_unsent().at(0), now_);
+    EXPECT_TRUE(is_refused(check()));
+    EXPECT_TRUE(is_suspect(check(seconds(5))));
+    EXPECT_EQ(quarantine_.next_repeated(9).size(), 1U);
+    EXPECT_EQ(quarantine_.take_unwritten().size(), 1U);
+}
+
+TEST_F(request_quarantine_fixture, run_that_is_reported_often_counts_once)
+{
+    for (int repetition = 0; repetition < 4; ++repetition)
+    {
+        quarantine_.record_crash({request_}, crash(1), now_, request_id("r1"));
+    }
+    EXPECT_TRUE(std::holds_alternative<unrestricted>(check()));
+}
+
+TEST_F(request_quarantine_fixture, completion_clears_the_runs_of_a_crash)
+{
+    for (const char* const id : {"r1", "r2", "r3"})
+    {
+        quarantine_.record_crash({request_}, crash(1), now_, request_id(id));
+    }
+    const auto reports = quarantine_.take_unsent();
+    quarantine_.record_completion(request_);
+    EXPECT_TRUE(std::holds_alternative<unrestricted>(check()));
+    quarantine_.merge(reports.at(0), now_);
+    EXPECT_TRUE(std::holds_alternative<unrestricted>(check()));
+    quarantine_.record_crash({request_}, crash(2), now_, request_id("r4"));
+    EXPECT_TRUE(std::holds_alternative<unrestricted>(check()));
+}
+
+TEST_F(request_quarantine_fixture, runs_with_a_part_do_not_count_against_it)
+{
+    for (const char* const id : {"r1", "r2", "r3"})
+    {
+        quarantine_.record_crash(
+            {request_, suspect_kind::prompt_part}, crash(1), now_,
+            request_id(id));
+    }
+    EXPECT_TRUE(quarantine_.find(request_)->runs.empty());
+}
+
 TEST_F(
     request_quarantine_fixture, deferred_trial_is_refused_for_the_usual_delay)
 {
