--- a/src/gateway/crash_registry.cpp
+++ b/src/gateway/crash_registry.cpp
@@ -109,6 +109,7 @@
         clear_crashes(content);
     }
     log_restriction(suspect, source);
+    on_unsent_records_();
 }
 
 quarantine::prompt_status crash_registry::check(
--- a/src/gateway/crash_registry.hpp
+++ b/src/gateway/crash_registry.hpp
@@ -45,7 +45,8 @@
     {
         return quarantine_;
     }
-    /// The callback is called when there are records to send to other gateways.
+    /// The callback is called when there may be records to send to other
+    /// gateways or to write.
     void on_unsent_records(std::function<void()> callback);
 
 private:
--- a/src/gateway/quarantine_sync.cpp
+++ b/src/gateway/quarantine_sync.cpp
@@ -115,10 +115,19 @@
                 send(
                     state_.crashes.quarantine().take_unsent(),
                     listeners_.entries().size());
+                start_writing();
             }
         });
 }
 
+void quarantine_sync::start_writing()
+{
+    if (!writing_)
+    {
+        asio::co_spawn(context_, write_rows(), asio::detached);
+    }
+}
+
 void quarantine_sync::send(
     const std::vector<quarantine::crash_report>& reports,
     std::size_t max_receivers)
@@ -157,10 +166,7 @@
         quarantine.remove_expired(wall_clock::now());
         send(quarantine.take_unsent(), listeners_.entries().size());
         send(quarantine.next_repeated(repeated_records), repeat_receivers);
-        if (!writing_)
-        {
-            asio::co_spawn(context_, write_rows(), asio::detached);
-        }
+        start_writing();
     }
 }
 
--- a/src/gateway/quarantine_sync.hpp
+++ b/src/gateway/quarantine_sync.hpp
@@ -52,9 +52,11 @@
     /// the order of their VMs.
     void apply_listeners(
         const platform::row_set& rows, platform::row_scope scope);
-    /// Sends changed records after a short delay, so that the requests of one
-    /// crash share datagrams.
+    /// Sends and writes changed records after a short delay, so that the
+    /// requests of one crash share datagrams and a transaction.
     void schedule_send();
+    /// Writes the unwritten records unless a write is in progress.
+    void start_writing();
     /// Sends reports to at most `max_receivers` other gateways, chosen at
     /// random.
     void send(
