Read and log the limits that upstreams name

No decision changes. The header is decoded into a statement (none, a rate, or not readable); a line upstream_limit names each limit that begins, ends or changes by a tenth, and the metric wagtail_upstream_limits counts them.

--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -112,6 +112,8 @@
     state_.metrics.set_gauge(
         "wagtail_crash_records",
         static_cast<double>(state_.crashes.quarantine().size()));
+    state_.metrics.set_gauge(
+        "wagtail_upstream_limits", static_cast<double>(state_.limits.size()));
     state_.metrics.set_gauge(
         "wagtail_operator_age_seconds",
         std::chrono::duration<double>(
--- a/src/gateway/crash_registry.cpp
+++ b/src/gateway/crash_registry.cpp
@@ -35,7 +35,7 @@
     const upstream_process& process, const broken_attempt& attempt,
     std::string_view source)
 {
-    const auto crash = make_crash_id(process);
+    const auto crash = quarantine::make_crash_id(process);
     const auto now = wall_clock::now();
     bool changed = false;
     for (const auto& suspect : attempt.suspects)
--- /dev/null
+++ b/src/gateway/limit_registry.cpp
@@ -0,0 +1,45 @@
+// Log lines and clocks around the limits.
+#include "gateway/limit_registry.hpp"
+
+#include "telemetry/event_log.hpp"
+
+namespace wagtailseam::gateway
+{
+
+using rate_limit::limit_change;
+
+void limit_registry::record_response(
+    const upstream_process& process,
+    const rate_limit::limit_statement& statement, mono_time sent_at)
+{
+    const auto change = limits_.record_response(
+        process, statement, sent_at, monotonic_clock::now());
+    const auto* const unreadable =
+        std::get_if<rate_limit::unreadable_limit>(&statement);
+    if (change == limit_change::unreadable && unreadable != nullptr)
+    {
+        telemetry::event("upstream_limit_unreadable")
+            .with("upstream", process.id)
+            .with("limit", unreadable->text)
+            .warning();
+    }
+    if (change == limit_change::notable)
+    {
+        log_change(process.id, "response");
+    }
+}
+
+void limit_registry::log_change(
+    const upstream_id& id, std::string_view source) const
+{
+    const auto known = limits_.find(id, monotonic_clock::now());
+    const bool is_limited = known && known->rate;
+    telemetry::event("upstream_limit")
+        .with("upstream", id)
+        .with(
+            "limit", is_limited ? std::to_string(known->rate->value()) : "none")
+        .with("source", source)
+        .with("age_us", known ? known->age.count() : 0);
+}
+
+} // namespace wagtailseam::gateway
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -402,11 +402,12 @@
     const serving::chosen_upstream& target, const planned_dispatch& planned)
 {
     const auto& id = target.entry.id;
+    attempt_began_at_ = monotonic_clock::now();
     state_.upstreams.begin_attempt(id, planned.prefill_time);
     pending_prompt_ = pending_prompt{
         .upstream = id,
         .prefill_time = planned.prefill_time,
-        .dispatched_at = monotonic_clock::now(),
+        .dispatched_at = attempt_began_at_,
         .expected_wait = target.expected_wait,
         .main_cache_source = planned.main_cache_source};
     state_.on_pending_prefill_changed(id);
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -137,6 +137,7 @@
     bool trial_claimed_ = false;
     bool caller_disconnected_ = false;
     bool response_head_sent_ = false;
+    mono_time attempt_began_at_;
     /// When the current attempt times out if the response has not begun.
     mono_time response_deadline_;
     struct pending_prompt
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -55,6 +55,9 @@
     const serving::chosen_upstream& target, http::response_stream stream)
 {
     const auto response = platform::decode_response_head(stream.head());
+    state_.limits.record_response(
+        {target.entry.id, target.entry.started_ms}, response.limit,
+        attempt_began_at_);
     if (response.not_run)
     {
         --record_.executions;
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -5,6 +5,7 @@
 
 #include "core/random_source.hpp"
 #include "gateway/crash_registry.hpp"
+#include "gateway/limit_registry.hpp"
 #include "platform/settings_file.hpp"
 #include "retry/retry_budget.hpp"
 #include "serving/cache_view.hpp"
@@ -54,6 +55,7 @@
     /// Whether the list of upstreams has been read completely at least once.
     bool upstream_list_read = false;
     serving::cache_view caches;
+    limit_registry limits;
     /// When the operator's table was last read, or reported as unchanged.
     mono_time operator_table_read_at;
     crash_registry crashes;
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -401,6 +401,7 @@
         state_.upstreams.confirm_departure(removed->id);
         state_.crashes.record_process_end(
             {removed->id, removed->started_ms}, "unlisted");
+        state_.limits.erase({removed->id, removed->started_ms});
     }
 }
 
@@ -425,6 +426,7 @@
     for (const auto& entry : ended)
     {
         state_.crashes.record_process_end({entry.id, entry.started_ms}, "list");
+        state_.limits.erase({entry.id, entry.started_ms});
     }
 }
 
--- a/src/quarantine/crash_attribution.hpp
+++ b/src/quarantine/crash_attribution.hpp
@@ -5,9 +5,9 @@
 
 #include "core/clock.hpp"
 #include "core/ids.hpp"
+#include "core/upstream_process.hpp"
 #include "quarantine/crash_record_cache.hpp"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -17,19 +17,7 @@
 namespace wagtailseam::quarantine
 {
 
-/// One run of an upstream's process.
-struct upstream_process
-{
-    upstream_id id;
-    /// Start time in ms that the upstream reports, which distinguishes
-    /// processes with the same id; 0 if unknown.
-    std::uint64_t started_ms = 0;
-
-    friend bool operator==(const upstream_process&, const upstream_process&) =
-        default;
-    friend auto operator<=>(const upstream_process&, const upstream_process&) =
-        default;
-};
+using wagtailseam::upstream_process;
 
 /// Returns the id of the crash of an upstream process. All gateways name the
 /// same crash alike.
--- /dev/null
+++ b/src/rate_limit/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(rate_limit DEPENDS wagtail_core wagtail_routing)
