Keep the rate of requests that an upstream names, in all gateways together

Cause: nothing read the limit. Class of fault: a limit over all gateways, of which each would take the whole.

Now the whole requests that a limit allows in a second are assigned to gateways by a hash of upstream and second; unused ones expire. No message is needed, a share below one request works, and in 4 s, which touch five seconds, at most five times the rounded limit is sent. Each attempt takes from the share: first ones, retries, resumed streams. Other upstreams are chosen instead; what none takes is refused at once with the time until the gateway's next share. A gateway that does not know its position yet sends nothing to limited upstreams. A limit ends with a response to a later request, with its process, or by the report of another gateway; what is no number keeps the last rate.

Weighed: token buckets (idle gateways save a token each, 330 of them far beyond the bound), turns in a fixed order (a small change of the limit moves all turns), grants by one gateway (a round trip for each request, and an owner to replace).

--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -96,6 +96,9 @@
     result_code_row{
         result_code::cancelled_before_dispatch, "cancelled_before_dispatch",
         "The caller left before the request was dispatched."},
+    result_code_row{
+        result_code::upstreams_limited, "upstreams_limited",
+        "The upstreams take no more requests a second; come back later."},
     result_code_row{
         result_code::upstream_unreachable, "upstream_unreachable",
         "No connection to the upstream was made, so nothing was sent."},
--- a/src/core/result_code.hpp
+++ b/src/core/result_code.hpp
@@ -48,6 +48,7 @@
     not_ready = 308,
     queue_full = 309,
     cancelled_before_dispatch = 310,
+    upstreams_limited = 311,
 
     upstream_unreachable = 401,
     upstream_draining = 402,
--- a/src/gateway/limit_registry.cpp
+++ b/src/gateway/limit_registry.cpp
@@ -26,9 +26,30 @@
     if (change == limit_change::notable)
     {
         log_change(process.id, "response");
+        on_change_(process.id);
     }
 }
 
+void limit_registry::merge(const rate_limit::limit_report& report)
+{
+    const auto change = limits_.merge(report, monotonic_clock::now());
+    if (change == limit_change::notable)
+    {
+        log_change(report.process.id, "gateway");
+    }
+}
+
+void limit_registry::on_change(std::function<void(const upstream_id&)> callback)
+{
+    on_change_ = std::move(callback);
+}
+
+bool limit_registry::set_position(const fleet_position& position)
+{
+    limits_.set_position(position);
+    return std::exchange(position_, position) != position;
+}
+
 void limit_registry::log_change(
     const upstream_id& id, std::string_view source) const
 {
@@ -38,6 +59,7 @@
         .with("upstream", id)
         .with(
             "limit", is_limited ? std::to_string(known->rate->value()) : "none")
+        .with("gateways", position_ ? position_->size : 0)
         .with("source", source)
         .with("age_us", known ? known->age.count() : 0);
 }
--- a/src/gateway/quarantine_sync.cpp
+++ b/src/gateway/quarantine_sync.cpp
@@ -8,8 +8,6 @@
 #include <boost/asio/experimental/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <algorithm>
-
 namespace wagtailseam::gateway
 {
 namespace
@@ -25,10 +23,6 @@
 /// As many records as fit into one datagram.
 constexpr std::size_t repeated_records = 4;
 constexpr std::chrono::seconds read_retry_delay{1};
-/// The rows of other gateways change when VMs are added or replaced.
-constexpr std::chrono::seconds listener_poll_timeout{30};
-/// All processes of a deployment write their rows within seconds.
-constexpr std::chrono::seconds listener_batch_delay{5};
 /// Stands between the fingerprint and the VM in the key of a row.
 constexpr char row_key_separator = '@';
 
@@ -45,23 +39,14 @@
 
 quarantine_sync::quarantine_sync(
     asio::io_context& context, shared_state& state,
-    platform::row_store_client& row_store, datagram_sender send)
-    : context_(context), state_(state), row_store_(row_store),
-      send_(std::move(send)),
-      listener_table_(
-          context, row_store_,
-          {.table = engine_status::listener_table,
-           .on_rows = [this](const auto& rows, auto scope)
-           { apply_listeners(rows, scope); },
-           .poll_timeout = listener_poll_timeout,
-           .batch_delay = listener_batch_delay}),
+    platform::row_store_client& row_store, const peer_directory& peers)
+    : context_(context), state_(state), row_store_(row_store), peers_(peers),
       send_timer_(context)
 {
 }
 
 void quarantine_sync::start()
 {
-    listener_table_.start();
     state_.crashes.on_unsent_records([this] { schedule_send(); });
     row_store_.on_restored([this]
                            { state_.crashes.quarantine().rewrite_all(); });
@@ -69,22 +54,6 @@
     asio::co_spawn(context_, repeat_records(), asio::detached);
 }
 
-void quarantine_sync::apply_listeners(
-    const platform::row_set& rows, platform::row_scope scope)
-{
-    listeners_.apply(rows, scope);
-    quarantine::trial_turn turn;
-    for (const auto& [vm, listener] : listeners_.entries())
-    {
-        const bool is_other =
-            listener.role == engine_status::listener_role::gateway &&
-            vm != state_.settings.vm;
-        turn.gateways += is_other ? 1U : 0U;
-        turn.index += is_other && vm < state_.settings.vm ? 1U : 0U;
-    }
-    state_.crashes.quarantine().set_trial_turn(turn);
-}
-
 void quarantine_sync::handle_datagram(std::string_view datagram)
 {
     const auto reports = quarantine::decode_datagram(datagram);
@@ -112,9 +81,7 @@
             send_scheduled_ = false;
             if (!error)
             {
-                send(
-                    state_.crashes.quarantine().take_unsent(),
-                    listeners_.entries().size());
+                send_to_all(state_.crashes.quarantine().take_unsent());
                 start_writing();
             }
         });
@@ -128,25 +95,24 @@
     }
 }
 
-void quarantine_sync::send(
-    const std::vector<quarantine::crash_report>& reports,
-    std::size_t max_receivers)
+void quarantine_sync::send_to_all(
+    const std::vector<quarantine::crash_report>& reports)
 {
-    auto receivers = listeners_.addresses(
-        engine_status::listener_role::gateway, state_.settings.vm);
-    for (std::size_t chosen = 0;
-         chosen < std::min(max_receivers, receivers.size()); ++chosen)
+    for (const auto& datagram : quarantine::encode_datagrams(reports))
     {
-        const auto other =
-            chosen + state_.random.below(receivers.size() - chosen);
-        std::swap(receivers[chosen], receivers[other]);
+        peers_.send_to_all(datagram);
     }
-    receivers.resize(std::min(max_receivers, receivers.size()));
+}
+
+void quarantine_sync::send_to_some(
+    const std::vector<quarantine::crash_report>& reports)
+{
+    const auto receivers = peers_.random_peers(repeat_receivers);
     for (const auto& datagram : quarantine::encode_datagrams(reports))
     {
         for (const auto& receiver : receivers)
         {
-            send_(datagram, receiver);
+            peers_.send(datagram, receiver);
         }
     }
 }
@@ -164,8 +130,8 @@
             continue;
         }
         quarantine.remove_expired(wall_clock::now());
-        send(quarantine.take_unsent(), listeners_.entries().size());
-        send(quarantine.next_repeated(repeated_records), repeat_receivers);
+        send_to_all(quarantine.take_unsent());
+        send_to_some(quarantine.next_repeated(repeated_records));
         start_writing();
     }
 }
--- a/src/gateway/quarantine_sync.hpp
+++ b/src/gateway/quarantine_sync.hpp
@@ -3,17 +3,14 @@
 #ifndef WAGTAILSEAM_GATEWAY_QUARANTINE_SYNC_HPP
 #define WAGTAILSEAM_GATEWAY_QUARANTINE_SYNC_HPP
 
-#include "engine_status/listener_directory.hpp"
+#include "gateway/peer_directory.hpp"
 #include "gateway/shared_state.hpp"
 #include "platform/row_store_client.hpp"
-#include "platform/table_watcher.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,12 +31,9 @@
 class quarantine_sync
 {
 public:
-    using datagram_sender = std::function<void(
-        const std::string& datagram, const asio::ip::udp::endpoint& receiver)>;
-
     quarantine_sync(
         asio::io_context& context, shared_state& state,
-        platform::row_store_client& row_store, datagram_sender send);
+        platform::row_store_client& row_store, const peer_directory& peers);
     quarantine_sync(const quarantine_sync&) = delete;
     quarantine_sync& operator=(const quarantine_sync&) = delete;
 
@@ -48,20 +42,14 @@
     void handle_datagram(std::string_view datagram);
 
 private:
-    /// Applies rows of gateways and agents. Gateways take turns with trials in
-    /// the order of their VMs.
-    void apply_listeners(
-        const platform::row_set& rows, platform::row_scope scope);
     /// Sends and writes changed records after a short delay, so that the
     /// requests of one crash share datagrams and a transaction.
     void schedule_send();
     /// Writes the unwritten records unless a write is in progress.
     void start_writing();
-    /// Sends reports to at most `max_receivers` other gateways, chosen at
-    /// random.
-    void send(
-        const std::vector<quarantine::crash_report>& reports,
-        std::size_t max_receivers);
+    void send_to_all(const std::vector<quarantine::crash_report>& reports);
+    /// Sends reports to a few other gateways, chosen at random.
+    void send_to_some(const std::vector<quarantine::crash_report>& reports);
     asio::awaitable<void> repeat_records();
     [[nodiscard]] std::string make_row_key(
         const quarantine::content_fingerprint& request) const;
@@ -74,9 +62,7 @@
     asio::io_context& context_;
     shared_state& state_;
     platform::row_store_client& row_store_;
-    datagram_sender send_;
-    platform::table_watcher listener_table_;
-    engine_status::listener_directory listeners_;
+    const peer_directory& peers_;
     asio::steady_timer send_timer_;
     bool send_scheduled_ = false;
     bool writing_ = false;
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -37,31 +37,6 @@
 /// A request is retried only if more than its latency target divided by this
 /// number is left.
 constexpr int min_retry_time_divisor = 4;
-constexpr duration min_retry_after = std::chrono::milliseconds(100);
-/// Callers respect a Retry-After of at most their remaining time divided by
-/// this number.
-constexpr int retry_after_divisor = 3;
-
-unsigned http_status_of(result_code code)
-{
-    switch (code)
-    {
-    case result_code::malformed_http:
-        return 400;
-    case result_code::missing_credentials:
-    case result_code::unknown_caller_key:
-        return 401;
-    case result_code::unknown_route:
-        return 404;
-    case result_code::outcome_unknown:
-        return 502;
-    case result_code::deadline_passed:
-        return 504;
-    default:
-        return 503;
-    }
-}
-
 /// Returns the ids of the prompt parts that other requests may share.
 std::string list_shared_parts(const serving::call& call)
 {
@@ -92,9 +67,7 @@
     const auto accepted = accept_request();
     if (!accepted)
     {
-        const auto code = accepted.error().code;
-        co_await send_local_response(
-            http_status_of(code), code, min_retry_after);
+        co_await reject(accepted.error().code);
         record_request_end(state_, request_, record_);
         co_return;
     }
@@ -184,18 +157,9 @@
             // The caller left while the trial was claimed.
             continue;
         }
-        const auto selection = state_.upstreams.choose(
-            make_upstream_query(
-                state_, request_, tried_upstreams_, record_.executions == 0),
-            state_.random, monotonic_clock::now());
-        const auto* const target =
-            std::get_if<serving::chosen_upstream>(&selection);
-        if (target == nullptr)
+        const auto target = choose_upstream();
+        if (!target)
         {
-            record_.code =
-                std::holds_alternative<serving::all_overloaded>(selection)
-                    ? result_code::queue_full
-                    : result_code::no_upstream;
             if (co_await wait_for_upstream())
             {
                 continue;
@@ -214,6 +178,7 @@
             record_.code = result_code::retry_budget_spent;
             break;
         }
+        state_.limits.record_request(target->entry.id);
         const auto next = co_await run_attempt(*target);
         if (next == next_step::finished)
         {
@@ -230,6 +195,30 @@
     co_await send_final_error();
 }
 
+std::optional<serving::chosen_upstream> request_handler::choose_upstream()
+{
+    auto query = make_upstream_query(
+        state_, request_, tried_upstreams_, record_.executions == 0);
+    query.limited = state_.limits.exhausted();
+    auto selection =
+        state_.upstreams.choose(query, state_.random, monotonic_clock::now());
+    if (auto* const chosen = std::get_if<serving::chosen_upstream>(&selection))
+    {
+        return std::move(*chosen);
+    }
+    record_.code = result_code::no_upstream;
+    if (auto* const limited = std::get_if<serving::all_limited>(&selection))
+    {
+        record_.limited_upstreams = std::move(limited->upstreams);
+        record_.code = result_code::upstreams_limited;
+    }
+    else if (std::holds_alternative<serving::all_overloaded>(selection))
+    {
+        record_.code = result_code::queue_full;
+    }
+    return std::nullopt;
+}
+
 asio::awaitable<bool> request_handler::may_start_attempt()
 {
     end_trial();
@@ -335,6 +324,10 @@
 
 asio::awaitable<bool> request_handler::wait_for_upstream()
 {
+    if (record_.code == result_code::upstreams_limited)
+    {
+        co_return false;
+    }
     const auto now = monotonic_clock::now();
     const auto available_in =
         state_.upstreams.retry_after(request_.service, now);
@@ -535,50 +528,4 @@
     return may_retry() ? next_step::retry : next_step::give_up;
 }
 
-asio::awaitable<void> request_handler::send_final_error()
-{
-    if (response_head_sent_)
-    {
-        record_.code = result_code::stream_broken;
-        exchange_.abort();
-        co_return;
-    }
-    const auto now = monotonic_clock::now();
-    if (record_.executions > 0 && record_.code != result_code::deadline_passed)
-    {
-        record_.code = result_code::outcome_unknown;
-    }
-    const bool never_executed = record_.executions == 0;
-    const auto wait =
-        record_.quarantine
-            ? std::max<duration>(
-                  min_retry_after,
-                  record_.quarantine->until - wall_clock::now())
-            : std::clamp<duration>(
-                  state_.upstreams.retry_after(request_.service, now),
-                  min_retry_after,
-                  std::max<duration>(
-                      min_retry_after,
-                      request_.time_left() / retry_after_divisor));
-    const unsigned status = never_executed ? 503 : http_status_of(record_.code);
-    co_await send_local_response(
-        status, record_.code, never_executed ? wait : duration::zero());
-}
-
-asio::awaitable<void> request_handler::send_local_response(
-    unsigned status, result_code code, duration retry_after)
-{
-    constexpr unsigned status_unavailable = 503;
-    record_.status = status;
-    record_.code = code;
-    if (status == status_unavailable)
-    {
-        state_.metrics.count_refusal(code);
-    }
-    auto message = platform::make_local_response(
-        status, request_.call.id, name(code),
-        status == status_unavailable ? retry_after : duration::zero());
-    (void)co_await exchange_.send(std::move(message));
-}
-
 } // namespace wagtailseam::gateway
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -77,6 +77,8 @@
     [[nodiscard]] bool is_resumable_stream() const;
     asio::awaitable<next_step> forward_response(
         const serving::chosen_upstream& target, http::response_stream& stream);
+    /// Returns nullopt and sets the result code if there is none.
+    [[nodiscard]] std::optional<serving::chosen_upstream> choose_upstream();
     asio::awaitable<bool> wait_for_upstream();
     /// Returns whether the request may be sent to an upstream, as far as its
     /// deadline and its crash record are concerned. Otherwise sets the result
@@ -94,7 +96,11 @@
     asio::awaitable<void> report_broken_attempt();
     asio::awaitable<void> send_local_response(
         unsigned status, result_code code, duration retry_after);
+    /// Responds to a request that is not accepted.
+    asio::awaitable<void> reject(result_code code);
     asio::awaitable<void> send_final_error();
+    /// Returns the time after which the caller should return.
+    [[nodiscard]] duration retry_delay();
 
     [[nodiscard]] http::open_options make_open_options(
         const serving::chosen_upstream& target);
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -18,6 +18,33 @@
 /// the attempt. Events contain a few tokens.
 constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
 constexpr unsigned status_redirection = 300;
+constexpr duration min_retry_after = std::chrono::milliseconds(100);
+/// Callers respect a Retry-After of at most their remaining time divided by
+/// this number.
+constexpr int retry_after_divisor = 3;
+/// Callers return within this time after the gateway's share of a limit begins.
+constexpr duration limit_return_time = std::chrono::milliseconds(500);
+
+unsigned http_status_of(result_code code)
+{
+    switch (code)
+    {
+    case result_code::malformed_http:
+        return 400;
+    case result_code::missing_credentials:
+    case result_code::unknown_caller_key:
+        return 401;
+    case result_code::unknown_route:
+        return 404;
+    case result_code::outcome_unknown:
+        return 502;
+    case result_code::deadline_passed:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
 constexpr unsigned status_server_error = 500;
 
 bool is_event_stream(const http::response& head)
@@ -278,4 +305,65 @@
     co_return next_step::finished;
 }
 
+asio::awaitable<void> request_handler::reject(result_code code)
+{
+    co_await send_local_response(http_status_of(code), code, min_retry_after);
+}
+
+asio::awaitable<void> request_handler::send_final_error()
+{
+    if (response_head_sent_)
+    {
+        record_.code = result_code::stream_broken;
+        exchange_.abort();
+        co_return;
+    }
+    if (record_.executions > 0 && record_.code != result_code::deadline_passed)
+    {
+        record_.code = result_code::outcome_unknown;
+    }
+    const bool never_executed = record_.executions == 0;
+    const unsigned status = never_executed ? 503 : http_status_of(record_.code);
+    co_await send_local_response(
+        status, record_.code,
+        never_executed ? retry_delay() : duration::zero());
+}
+
+duration request_handler::retry_delay()
+{
+    if (record_.quarantine)
+    {
+        return std::max<duration>(
+            min_retry_after, record_.quarantine->until - wall_clock::now());
+    }
+    // Callers that return at random times do not all meet at the first one.
+    const duration delay =
+        record_.code == result_code::upstreams_limited
+            ? state_.limits.next_share(record_.limited_upstreams) +
+                  duration(static_cast<duration::rep>(state_.random.below(
+                      static_cast<std::uint64_t>(limit_return_time.count()))))
+            : state_.upstreams.retry_after(
+                  request_.service, monotonic_clock::now());
+    return std::clamp<duration>(
+        delay, min_retry_after,
+        std::max<duration>(
+            min_retry_after, request_.time_left() / retry_after_divisor));
+}
+
+asio::awaitable<void> request_handler::send_local_response(
+    unsigned status, result_code code, duration retry_after)
+{
+    constexpr unsigned status_unavailable = 503;
+    record_.status = status;
+    record_.code = code;
+    if (status == status_unavailable)
+    {
+        state_.metrics.count_refusal(code);
+    }
+    auto message = platform::make_local_response(
+        status, request_.call.id, name(code),
+        status == status_unavailable ? retry_after : duration::zero());
+    (void)co_await exchange_.send(std::move(message));
+}
+
 } // namespace wagtailseam::gateway
--- a/src/gateway/request_record.cpp
+++ b/src/gateway/request_record.cpp
@@ -51,6 +51,11 @@
         line.with("content", short_name(request.content().request))
             .with("cause", short_name(record.quarantine->cause));
     }
+    if (record.code == result_code::upstreams_limited)
+    {
+        line.with("limited_upstreams", record.limited_upstreams.size())
+            .with("cause", record.limited_upstreams.begin()->value());
+    }
 }
 
 } // namespace
--- a/src/gateway/request_record.hpp
+++ b/src/gateway/request_record.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace wagtailseam::gateway
@@ -32,6 +33,8 @@
     duration expected_wait{};
     /// Set if the request is quarantined.
     std::optional<quarantine::quarantined> quarantine;
+    /// Upstreams that took no more requests, if that is why it was refused.
+    std::set<upstream_id> limited_upstreams;
     /// Data about the last dispatch.
     dispatch_summary dispatch;
 };
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -86,10 +86,12 @@
           context, asio::ip::udp::endpoint(
                        asio::ip::make_address(state.settings.ip),
                        state.settings.first_internal_port)),
-      quarantine_sync_(
+      peers_(
           context, state, row_store_,
           [this](const auto& datagram, const auto& receiver)
           { send_datagram(datagram, receiver); }),
+      quarantine_sync_(context, state, row_store_, peers_),
+      limit_sync_(context, state, peers_),
       trial_claims_(context, state, row_store_),
       cache_store_client_(
           context.get_executor(),
@@ -103,7 +105,9 @@
 {
     operator_table_.start();
     upstream_table_.start();
+    peers_.start();
     quarantine_sync_.start();
+    limit_sync_.start();
     trial_claims_.start();
     asio::co_spawn(
         context_,
@@ -141,6 +145,10 @@
         {
             quarantine_sync_.handle_datagram(datagram);
         }
+        else if (rate_limit::is_limit_report(datagram))
+        {
+            limit_sync_.handle_datagram(datagram);
+        }
         else
         {
             handle_status(datagram, sender);
--- a/src/log_story/request_trace.cpp
+++ b/src/log_story/request_trace.cpp
@@ -34,15 +34,15 @@
     "configuration_ready"};
 
 /// Events about the upstream in the field `upstream`.
-constexpr std::array<std::string_view, 10> upstream_events{
-    "upstream_listed",       "upstream_unlisted", "engine_life_seen",
-    "engine_listed",         "engine_lost",       "engine_regained",
-    "engine_runs_weights",   "order_given",       "engine_load",
-    "upstream_process_ended"};
+constexpr std::array<std::string_view, 12> upstream_events{
+    "upstream_listed",        "upstream_unlisted", "engine_life_seen",
+    "engine_listed",          "engine_lost",       "engine_regained",
+    "engine_runs_weights",    "order_given",       "engine_load",
+    "upstream_process_ended", "upstream_limit",    "upstream_limit_unreadable"};
 
 /// Events about the requests with the content in the field `content`.
-constexpr std::array<std::string_view, 2> content_events{
-    "request_quarantined", "crash_record_cleared"};
+constexpr std::array<std::string_view, 3> content_events{
+    "request_quarantined", "crash_record_cleared", "trial_claim"};
 
 constexpr std::string_view attempt_end_event = "attempt_ended";
 constexpr std::string_view request_end_event = "request";
--- a/src/log_story/test/request_trace_test.cpp
+++ b/src/log_story/test/request_trace_test.cpp
@@ -71,6 +71,25 @@
     EXPECT_NE(report.outcome.find("did not run"), std::string::npos);
 }
 
+TEST_F(request_trace_test, trial_of_a_content_is_reported_with_its_claim)
+{
+    add_line("1.0 g2 event=trial_claim content=c1 outcome=claimed");
+    add_line("5.1 g1 event=request request=r1 status=503 result=quarantined "
+             "code=305 content=c1 sent=0 runs=0 last_end=none upstream=none");
+    const auto report = trace.report();
+    EXPECT_TRUE(contains_text(report.context, "outcome claimed"));
+}
+
+TEST_F(request_trace_test, limit_of_the_upstream_is_reported)
+{
+    add_line("1.0 g1 event=upstream_limit upstream=u1 limit=3.1");
+    add_line("1.0 g1 event=upstream_limit upstream=u2 limit=7");
+    add_timed_out_request();
+    const auto report = trace.report();
+    EXPECT_TRUE(contains_text(report.context, "limit 3.1"));
+    EXPECT_FALSE(contains_text(report.context, "limit 7"));
+}
+
 TEST_F(request_trace_test, unordered_lines_are_reported_in_time_order)
 {
     add_line(
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -5,6 +5,7 @@
 #ifndef WAGTAILSEAM_QUARANTINE_REQUEST_QUARANTINE_HPP
 #define WAGTAILSEAM_QUARANTINE_REQUEST_QUARANTINE_HPP
 
+#include "core/fleet_position.hpp"
 #include "quarantine/crash_attribution.hpp"
 #include "quarantine/crash_report.hpp"
 
@@ -50,14 +51,6 @@
     int sends_per_change = 3;
 };
 
-/// Position of a gateway among those that try quarantined parts.
-struct trial_turn
-{
-    std::size_t index = 0;
-    /// Greater than `index`.
-    std::size_t gateways = 1;
-};
-
 /// A part is quarantined without a pause before: as long as few crashes are
 /// known, parts of many sound requests are under suspicion too. A quarantined
 /// part stays allowed, one request at a time, in requests without another
@@ -84,7 +77,7 @@
     /// Refuses a suspect request for the usual delay of a trial, since another
     /// gateway may be trying it.
     void defer_trial(const content_fingerprint& request, wall_time now);
-    void set_trial_turn(const trial_turn& turn) noexcept { turn_ = turn; }
+    void set_trial_turn(const fleet_position& turn) noexcept { turn_ = turn; }
 
     /// Records a crash of an upstream that executed the suspect.
     /// @param request the request that it executed, if the suspect is one
@@ -157,7 +150,8 @@
 
     request_quarantine_options options_;
     crash_record_cache records_;
-    trial_turn turn_;
+    /// Position of this gateway among those that try quarantined parts.
+    fleet_position turn_;
     /// Suspects that this process is running.
     std::set<content_fingerprint> trials_;
     /// Earliest times of trials that other gateways may have claimed.
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -332,12 +332,18 @@
     };
     std::vector<candidate> candidates;
     bool overloaded = false;
+    all_limited limited;
     for (const auto& [id, state] : upstreams_)
     {
         if (!is_eligible(state, query, now))
         {
             continue;
         }
+        if (query.limited.contains(id))
+        {
+            limited.upstreams.insert(id);
+            continue;
+        }
         if (query.max_prompts_waiting &&
             prompts_waiting(state, now) >= *query.max_prompts_waiting)
         {
@@ -358,7 +364,12 @@
     }
     if (candidates.empty())
     {
-        return overloaded ? choice(all_overloaded{}) : choice(none_available{});
+        if (overloaded)
+        {
+            return all_overloaded{};
+        }
+        return limited.upstreams.empty() ? choice(none_available{})
+                                         : choice(std::move(limited));
     }
     if (query.affinity_key != 0)
     {
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -143,6 +143,8 @@
     std::optional<std::uint32_t> max_prompts_waiting;
     /// Upstreams that earlier attempts of the request tried.
     std::set<upstream_id> excluded;
+    /// Upstreams that take no more requests of this gateway for now.
+    std::set<upstream_id> limited;
 };
 
 /// An upstream chosen for one attempt.
@@ -164,12 +166,20 @@
 {
 };
 
+/// Every other upstream is unavailable.
+struct all_limited
+{
+    /// Those that would have been eligible.
+    std::set<upstream_id> upstreams;
+};
+
 /// No upstream is available.
 struct none_available
 {
 };
 
-using choice = std::variant<chosen_upstream, all_overloaded, none_available>;
+using choice =
+    std::variant<chosen_upstream, all_overloaded, all_limited, none_available>;
 
 /// Not thread-safe. Memory and time: linear in the number of upstreams.
 class load_balancer
