--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -321,18 +321,10 @@
     return !version || *version >= query.wanted_version;
 }
 
-choice load_balancer::choose(
-    const upstream_query& query, random_source& random, mono_time now)
+load_balancer::candidate_list load_balancer::list_candidates(
+    const upstream_query& query, random_source& random, mono_time now) const
 {
-    struct candidate
-    {
-        const upstream_state* state = nullptr;
-        duration cost{};
-        std::uint64_t affinity = 0;
-    };
-    std::vector<candidate> candidates;
-    bool overloaded = false;
-    all_limited limited;
+    candidate_list found;
     for (const auto& [id, state] : upstreams_)
     {
         if (!is_eligible(state, query, now))
@@ -341,13 +333,13 @@
         }
         if (query.limited.contains(id))
         {
-            limited.upstreams.insert(id);
+            found.limited.upstreams.insert(id);
             continue;
         }
         if (query.max_prompts_waiting &&
             prompts_waiting(state, now) >= *query.max_prompts_waiting)
         {
-            overloaded = true;
+            found.any_overloaded = true;
             continue;
         }
         // Gateways with the same load report would all choose the same
@@ -359,17 +351,26 @@
             random.below(static_cast<std::uint64_t>(max_noise.count()))));
         const auto affinity = routing::rendezvous_weight(
             query.affinity_key, routing::stable_hash(id.value()));
-        candidates.push_back(
+        found.candidates.push_back(
             {&state, cost(state, query, now) + noise, affinity});
     }
+    return found;
+}
+
+choice load_balancer::choose(
+    const upstream_query& query, random_source& random, mono_time now)
+{
+    auto found = list_candidates(query, random, now);
+    auto& candidates = found.candidates;
     if (candidates.empty())
     {
-        if (overloaded)
+        if (found.any_overloaded)
         {
             return all_overloaded{};
         }
-        return limited.upstreams.empty() ? choice(none_available{})
-                                         : choice(std::move(limited));
+        return found.limited.upstreams.empty()
+                   ? choice(none_available{})
+                   : choice(std::move(found.limited));
     }
     if (query.affinity_key != 0)
     {
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -275,6 +275,24 @@
         std::optional<mono_time> paused_until;
     };
 
+    struct candidate
+    {
+        const upstream_state* state = nullptr;
+        duration cost{};
+        std::uint64_t affinity = 0;
+    };
+    struct candidate_list
+    {
+        std::vector<candidate> candidates;
+        /// Whether an upstream was left out for its waiting prompts.
+        bool any_overloaded = false;
+        /// Upstreams that were left out because they are limited.
+        all_limited limited;
+    };
+
+    [[nodiscard]] candidate_list list_candidates(
+        const upstream_query& query, random_source& random,
+        mono_time now) const;
     /// Removes upstreams that started earlier at the same address. Their
     /// processes have ended even if the list still contains them.
     /// @return the entries removed by this call
