Bound the reports of a limit that comes and goes; refusals do not end one

Found while reading the change: an upstream that names its limit in some responses only caused a log line and a datagram to each gateway for every change, without bound. A gateway now reports an upstream at once and once more after 0.5 s, and writes at most 20 such lines a second.

--- a/src/gateway/limit_registry.cpp
+++ b/src/gateway/limit_registry.cpp
@@ -16,7 +16,8 @@
         process, statement, sent_at, monotonic_clock::now());
     const auto* const unreadable =
         std::get_if<rate_limit::unreadable_limit>(&statement);
-    if (change == limit_change::unreadable && unreadable != nullptr)
+    if (change == limit_change::unreadable && unreadable != nullptr &&
+        log_limiter_.try_acquire(monotonic_clock::now()))
     {
         telemetry::event("upstream_limit_unreadable")
             .with("upstream", process.id)
@@ -50,10 +51,15 @@
     return std::exchange(position_, position) != position;
 }
 
-void limit_registry::log_change(
-    const upstream_id& id, std::string_view source) const
+void limit_registry::log_change(const upstream_id& id, std::string_view source)
 {
-    const auto known = limits_.find(id, monotonic_clock::now());
+    const auto now = monotonic_clock::now();
+    const auto omitted_lines = log_limiter_.try_acquire(now);
+    if (!omitted_lines)
+    {
+        return;
+    }
+    const auto known = limits_.find(id, now);
     const bool is_limited = known && known->rate;
     telemetry::event("upstream_limit")
         .with("upstream", id)
@@ -61,7 +67,8 @@
             "limit", is_limited ? std::to_string(known->rate->value()) : "none")
         .with("gateways", position_ ? position_->size : 0)
         .with("source", source)
-        .with("age_us", known ? known->age.count() : 0);
+        .with("age_us", known ? known->age.count() : 0)
+        .with("lines_left_out", *omitted_lines);
 }
 
 } // namespace wagtailseam::gateway
--- a/src/gateway/limit_registry.hpp
+++ b/src/gateway/limit_registry.hpp
@@ -3,7 +3,9 @@
 #define WAGTAILSEAM_GATEWAY_LIMIT_REGISTRY_HPP
 
 #include "rate_limit/upstream_limits.hpp"
+#include "telemetry/log_rate_limiter.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <set>
@@ -57,10 +59,14 @@
     [[nodiscard]] std::size_t size() const noexcept { return limits_.size(); }
 
 private:
-    void log_change(const upstream_id& id, std::string_view source) const;
+    static constexpr std::uint32_t max_lines_per_second = 20;
+
+    void log_change(const upstream_id& id, std::string_view source);
 
     rate_limit::upstream_limits limits_;
     std::optional<fleet_position> position_;
+    /// An upstream may name a limit in some responses only.
+    telemetry::log_rate_limiter log_limiter_{max_lines_per_second};
     std::function<void(const upstream_id&)> on_change_ =
         [](const upstream_id&) {};
 };
--- a/src/gateway/limit_sync.cpp
+++ b/src/gateway/limit_sync.cpp
@@ -14,7 +14,9 @@
 
 constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
 
-constexpr std::chrono::milliseconds repeat_delay{300};
+/// Limits the datagrams about an upstream that names a limit in some responses
+/// only.
+constexpr std::chrono::milliseconds repeat_delay{500};
 
 } // namespace
 
@@ -28,7 +30,12 @@
 {
     state_.limits.on_change(
         [this](const upstream_id& id)
-        { asio::co_spawn(context_, send_report(id), asio::detached); });
+        {
+            if (reporting_.insert(id).second)
+            {
+                asio::co_spawn(context_, send_reports(id), asio::detached);
+            }
+        });
 }
 
 void limit_sync::handle_datagram(std::string_view datagram)
@@ -42,16 +49,20 @@
     state_.limits.merge(report.value());
 }
 
-asio::awaitable<void> limit_sync::send_report(upstream_id id)
+asio::awaitable<void> limit_sync::send_reports(upstream_id id)
 {
+    send_report(id);
     asio::steady_timer timer(context_, repeat_delay);
-    for (int send = 0; send < 2; ++send)
+    co_await timer.async_wait(completion);
+    reporting_.erase(id);
+    send_report(id);
+}
+
+void limit_sync::send_report(const upstream_id& id) const
+{
+    if (const auto report = state_.limits.find(id))
     {
-        if (const auto report = state_.limits.find(id))
-        {
-            peers_.send_to_all(rate_limit::encode(*report));
-        }
-        co_await timer.async_wait(completion);
+        peers_.send_to_all(rate_limit::encode(*report));
     }
 }
 
--- a/src/gateway/limit_sync.hpp
+++ b/src/gateway/limit_sync.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <set>
 #include <string_view>
 
 namespace wagtailseam::gateway
@@ -30,12 +31,15 @@
 
 private:
     /// Sends what is known about an upstream, and once more later, to make up
-    /// for lost datagrams.
-    asio::awaitable<void> send_report(upstream_id id);
+    /// for lost datagrams and for further changes until then.
+    asio::awaitable<void> send_reports(upstream_id id);
+    void send_report(const upstream_id& id) const;
 
     asio::io_context& context_;
     shared_state& state_;
     const peer_directory& peers_;
+    /// Upstreams for which send_reports() is running.
+    std::set<upstream_id> reporting_;
 };
 
 } // namespace wagtailseam::gateway
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -82,9 +82,15 @@
     const serving::chosen_upstream& target, http::response_stream stream)
 {
     const auto response = platform::decode_response_head(stream.head());
-    state_.limits.record_response(
-        {target.entry.id, target.entry.started_ms}, response.limit,
-        attempt_began_at_);
+    const bool names_limit =
+        !std::holds_alternative<rate_limit::no_limit>(response.limit);
+    // A refusal may come from a part of the upstream that names no limits.
+    if (names_limit || !response.not_run)
+    {
+        state_.limits.record_response(
+            {target.entry.id, target.entry.started_ms}, response.limit,
+            attempt_began_at_);
+    }
     if (response.not_run)
     {
         --record_.executions;
