--- a/src/gateway/limit_sync.hpp
+++ b/src/gateway/limit_sync.hpp
@@ -17,7 +17,8 @@
 
 /// A gateway whose share of a limit is small rarely gets a response of the
 /// upstream, and so would notice the end of the limit late. The gateway that
-/// first notices a change tells all others. Runs until the io_context stops.
+/// first notices a change reports it to all others. Runs until the io_context
+/// stops.
 class limit_sync
 {
 public:
--- a/src/gateway/peer_directory.hpp
+++ b/src/gateway/peer_directory.hpp
@@ -21,8 +21,8 @@
 
 namespace asio = boost::asio;
 
-/// Sends datagrams to other gateways, and tells the parts of this one its
-/// position among them. Runs until the io_context stops.
+/// Sends datagrams to other gateways, and passes the position of this one among
+/// them to the parts that need it. Runs until the io_context stops.
 class peer_directory
 {
 public:
--- a/src/quarantine/test/part_fleet_test.cpp
+++ b/src/quarantine/test/part_fleet_test.cpp
@@ -3,13 +3,13 @@
 // of the same callers must stay allowed.
 #include "core/random_source.hpp"
 #include "core/test/property.hpp"
+#include "lossy_network.hpp"
 #include "quarantine/recent_completions.hpp"
 #include "quarantine/request_quarantine.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <deque>
 #include <limits>
 
 namespace wagtailseam::quarantine
@@ -240,7 +240,8 @@
                 at.completions.insert(content, mono());
                 if (at.quarantine.record_completion(content.content))
                 {
-                    send_to_all(request.gateway, at.quarantine.take_unsent());
+                    network_.send_to_all(
+                        request.gateway, at.quarantine.take_unsent());
                 }
             }
         }
@@ -265,23 +266,7 @@
             {
                 at.quarantine.record_crash(suspect, id, now_);
             }
-            send_to_all(request.gateway, at.quarantine.take_unsent());
-        }
-    }
-
-    void send_to_all(
-        std::size_t sender, const std::vector<crash_report>& reports)
-    {
-        constexpr double delivered_share = 0.8;
-        for (std::size_t receiver = 0; receiver < gateways_.size(); ++receiver)
-        {
-            for (const auto& report : reports)
-            {
-                if (receiver != sender && random_.unit() < delivered_share)
-                {
-                    network_.emplace_back(receiver, report);
-                }
-            }
+            network_.send_to_all(request.gateway, at.quarantine.take_unsent());
         }
     }
 
@@ -291,10 +276,10 @@
         for (std::size_t sender = 0; sender < gateways_.size(); ++sender)
         {
             auto& quarantine = gateways_[sender].quarantine;
-            send_to_all(sender, quarantine.take_unsent());
+            network_.send_to_all(sender, quarantine.take_unsent());
             for (const auto& report : quarantine.next_repeated(records))
             {
-                network_.emplace_back(random_.below(gateways_.size()), report);
+                network_.send_to_one(report);
             }
             for (const auto& [content, record] : quarantine.take_unwritten())
             {
@@ -305,7 +290,7 @@
 
     void deliver()
     {
-        for (const auto& [receiver, report] : std::exchange(network_, {}))
+        for (const auto& [receiver, report] : network_.take())
         {
             auto& at = gateways_[receiver];
             if (at.quarantine.merge(report, now_) &&
@@ -313,7 +298,7 @@
                     {report.first, report.second.kind}, mono()))
             {
                 at.quarantine.record_completion(report.first);
-                send_to_all(receiver, at.quarantine.take_unsent());
+                network_.send_to_all(receiver, at.quarantine.take_unsent());
             }
         }
     }
@@ -340,7 +325,7 @@
     std::vector<gateway> gateways_;
     std::vector<wall_time> upstream_up_at_;
     std::vector<running_request> running_;
-    std::deque<std::pair<std::size_t, crash_report>> network_;
+    lossy_network network_{options_.gateways, random_};
     std::map<std::pair<content_fingerprint, std::size_t>, crash_record> rows_;
     std::vector<arrival> arrivals_;
     std::vector<wall_time> crashes_;
--- a/src/quarantine/test/trial_fleet_test.cpp
+++ b/src/quarantine/test/trial_fleet_test.cpp
@@ -1,15 +1,15 @@
 // A fleet of gateways in virtual time and one request that crashes upstreams,
-// whose callers return to all gateways when they are told to: the pattern of
-// load is many returns at the moment at which a pause ends.
+// whose callers respect Retry-After: the pattern of load is many returns to all
+// gateways at the moment at which a pause ends.
 #include "core/random_source.hpp"
 #include "core/test/property.hpp"
+#include "lossy_network.hpp"
 #include "quarantine/request_quarantine.hpp"
 #include "quarantine/trial_claim.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <deque>
 #include <limits>
 
 namespace wagtailseam::quarantine
@@ -203,7 +203,7 @@
                 at.quarantine.end_trial(run.trial);
                 at.quarantine.record_crash(
                     {request_}, crash, now_ + at.clock_offset, run.id);
-                send_to_all(run.gateway, at.quarantine.take_unsent());
+                network_.send_to_all(run.gateway, at.quarantine.take_unsent());
                 write_rows(run.gateway);
             }
         }
@@ -218,32 +218,16 @@
         }
     }
 
-    void send_to_all(
-        std::size_t sender, const std::vector<crash_report>& reports)
-    {
-        constexpr double delivered_share = 0.8;
-        for (std::size_t receiver = 0; receiver < gateways_.size(); ++receiver)
-        {
-            for (const auto& report : reports)
-            {
-                if (receiver != sender && random_.unit() < delivered_share)
-                {
-                    network_.emplace_back(receiver, report);
-                }
-            }
-        }
-    }
-
     void repeat_records()
     {
         constexpr std::size_t records = 4;
         for (std::size_t sender = 0; sender < gateways_.size(); ++sender)
         {
             auto& quarantine = gateways_[sender].quarantine;
-            send_to_all(sender, quarantine.take_unsent());
+            network_.send_to_all(sender, quarantine.take_unsent());
             for (const auto& report : quarantine.next_repeated(records))
             {
-                network_.emplace_back(random_.below(gateways_.size()), report);
+                network_.send_to_one(report);
             }
             write_rows(sender);
             quarantine.remove_expired(now_ + gateways_[sender].clock_offset);
@@ -252,7 +236,7 @@
 
     void deliver()
     {
-        for (const auto& [receiver, report] : std::exchange(network_, {}))
+        for (const auto& [receiver, report] : network_.take())
         {
             auto& at = gateways_[receiver];
             at.quarantine.merge(report, now_ + at.clock_offset);
@@ -277,7 +261,7 @@
     std::vector<upstream> upstreams_;
     wall_time now_ = wall_time(hours(1000));
     std::vector<wall_time> caller_returns_;
-    std::deque<std::pair<std::size_t, crash_report>> network_;
+    lossy_network network_{options_.gateways, random_};
     /// By writing gateway.
     std::map<std::size_t, crash_record> rows_;
     std::optional<trial_claim> claim_;
--- a/src/rate_limit/limit_report.hpp
+++ b/src/rate_limit/limit_report.hpp
@@ -1,4 +1,4 @@
-// Datagrams in which gateways tell each other that limits began or ended.
+// Datagrams in which gateways report the begin and the end of limits.
 #ifndef WAGTAILSEAM_RATE_LIMIT_LIMIT_REPORT_HPP
 #define WAGTAILSEAM_RATE_LIMIT_LIMIT_REPORT_HPP
 
--- a/src/rate_limit/upstream_limits.hpp
+++ b/src/rate_limit/upstream_limits.hpp
@@ -24,7 +24,7 @@
     /// A lower limit allows this rate all the same, since an end of the limit
     /// is only stated in responses.
     request_rate min_rate{0.1};
-    /// A change by less than this share is not told to other gateways.
+    /// A change by less than this share is not reported to other gateways.
     double notable_change = 0.1;
     /// Further upstreams with limits are ignored.
     std::size_t max_upstreams = 4096;
