--- a/src/quarantine/test/trial_fleet_test.cpp
+++ b/src/quarantine/test/trial_fleet_test.cpp
@@ -25,7 +25,6 @@
 constexpr std::size_t known_runs = 3;
 constexpr std::size_t allowed_arrivals = 3;
 constexpr milliseconds step_time{50};
-constexpr seconds restart_time{1};
 
 struct trial_fleet_options
 {
@@ -35,6 +34,10 @@
     std::size_t callers = 1;
     /// Time from the first arrival at an upstream to its crash.
     duration run_time = milliseconds(100);
+    /// Time from a crash of an upstream to its restart.
+    duration restart_time = seconds(1);
+    /// Callers return within this time after a run that ended.
+    duration max_return_time{};
     duration max_clock_offset{};
     double restart_rate = 0;
     /// Share of the time without the store, in which no trial can be claimed.
@@ -172,7 +175,8 @@
         arrivals_.push_back(
             {.time = now_, .in_touch = now_ - from.started > contact_time});
         target->runs.push_back(std::move(request));
-        return options_.run_time + step_time;
+        return options_.run_time + step_time +
+               random_duration(options_.max_return_time);
     }
 
     [[nodiscard]] bool claim(wall_time now)
@@ -194,7 +198,7 @@
             {
                 continue;
             }
-            each.up_at = now_ + restart_time;
+            each.up_at = now_ + options_.restart_time;
             const crash_id crash("c" + std::to_string(++crashes_));
             for (const auto& run : std::exchange(each.runs, {}))
             {
@@ -280,7 +284,9 @@
         .gateways = *rc::gen::inRange<std::size_t>(1, 12),
         .upstreams = *rc::gen::inRange<std::size_t>(1, 8),
         .callers = *rc::gen::inRange<std::size_t>(1, 30),
-        .run_time = step_time * *rc::gen::inRange(1, 20)};
+        .run_time = step_time * *rc::gen::inRange(1, 20),
+        .restart_time = seconds(*rc::gen::inRange(1, 7)),
+        .max_return_time = seconds(*rc::gen::inRange(0, 10))};
     return options;
 }
 
