Reserve the ports of tests for as long as their process runs

Its logs are gone with the test, so the bind was not seen itself. The mechanism is the known one: a port was only free when it was drawn, and another test could draw it before its user bound it or while the user restarted. A lock file per port now keeps it for the process; port_reservation_test failed before (the other process got the port).

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -2,6 +2,7 @@
 real processes. Used by the demonstration, the integration tests and the
 measurements."""
 
+import fcntl
 import http.client
 import json
 import os
@@ -40,23 +41,41 @@
 
 # Below the range from which the kernel takes ports of outgoing connections.
 FIRST_PORT, LAST_PORT = 12_000, 32_000
-# Ports given out in this process, whose users may not have bound them yet.
-given_ports = set()
+# Files whose locks keep the ports given out here from other test processes. Their
+# users may not have bound them yet, or may be restarting.
+PORT_LOCKS = pathlib.Path(tempfile.gettempdir()) / "wagtail-test-ports"
+# The locks that this process holds until it ends, by port.
+held_locks = {}
+
+
+def reserve_port(port):
+    """Returns whether the port was reserved for this process."""
+    if port in held_locks:
+        return False
+    PORT_LOCKS.mkdir(exist_ok=True)
+    lock = open(PORT_LOCKS / str(port), "w")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        lock.close()
+        return False
+    held_locks[port] = lock
+    return True
 
 
 def free_ports(count):
-    """Returns runs of two free ports, a data port and the control port."""
+    """Returns runs of two free ports, a data port and the control port. No other
+    process that takes its ports here gets them until this process ends."""
     ports, held = [], []
     while len(ports) < count:
         port = random.randrange(FIRST_PORT, LAST_PORT, 2)
-        if port in given_ports:
+        if not reserve_port(port):
             continue
         pair = [socket.socket(), socket.socket()]
         try:
             pair[0].bind(("127.0.0.1", port))
             pair[1].bind(("127.0.0.1", port + 1))
             ports.append(port)
-            given_ports.add(port)
         except OSError:
             pass
         held += pair
