Keep what upstreams state about themselves: leaving, pauses, limits

Callers saw requests sent to upstreams that had said in every answer that they leave, or that had asked for a pause. Cause: nothing read Server-Leaving, and load_balancer cut the requested pause at max_connect_pause (4 s) and ended it at the next good answer. Ruled out: the list (it still says ready).

One home: upstream_statement/statement_record, by process. The position of a gateway among the others is unknown, not alone, until the rows were read 1.5 s after its start; retry slack has 1.25 shares a gateway.

--- a/src/core/fleet_position.hpp
+++ b/src/core/fleet_position.hpp
@@ -7,7 +7,8 @@
 namespace wagtailseam
 {
 
-/// Processes that know the same peers have different indices.
+/// Processes that know the same peers have different indices. A process that
+/// does not know its peers yet has no position, rather than one without peers.
 struct fleet_position
 {
     /// Less than `size`.
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -99,6 +99,12 @@
     result_code_row{
         result_code::upstreams_limited, "upstreams_limited",
         "The upstreams take no more requests a second; come back later."},
+    result_code_row{
+        result_code::upstreams_paused, "upstreams_paused",
+        "The upstreams asked for a pause; come back when it ends."},
+    result_code_row{
+        result_code::upstreams_leaving, "upstreams_leaving",
+        "All upstreams of the service are leaving; come back later."},
     result_code_row{
         result_code::upstream_unreachable, "upstream_unreachable",
         "No connection to the upstream was made, so nothing was sent."},
--- a/src/core/result_code.hpp
+++ b/src/core/result_code.hpp
@@ -49,6 +49,8 @@
     queue_full = 309,
     cancelled_before_dispatch = 310,
     upstreams_limited = 311,
+    upstreams_paused = 312,
+    upstreams_leaving = 313,
 
     upstream_unreachable = 401,
     upstream_draining = 402,
--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -113,7 +113,15 @@
         "wagtail_crash_records",
         static_cast<double>(state_.crashes.quarantine().size()));
     state_.metrics.set_gauge(
-        "wagtail_upstream_limits", static_cast<double>(state_.limits.size()));
+        "wagtail_upstream_limits",
+        static_cast<double>(state_.statements.record().limit_count()));
+    state_.metrics.set_gauge(
+        "wagtail_upstreams_leaving",
+        static_cast<double>(state_.statements.record().leaving_count()));
+    state_.metrics.set_gauge(
+        "wagtail_upstreams_paused",
+        static_cast<double>(
+            state_.statements.record().paused_count(monotonic_clock::now())));
     state_.metrics.set_gauge(
         "wagtail_operator_age_seconds",
         std::chrono::duration<double>(
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -3,6 +3,12 @@
 
 #include "telemetry/event_log.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -15,13 +21,19 @@
 constexpr std::chrono::seconds listener_poll_timeout{30};
 /// All processes of a deployment write their rows within seconds.
 constexpr std::chrono::seconds listener_batch_delay{5};
+/// Gateways that start together have written their rows within this time.
+constexpr std::chrono::milliseconds registration_time{1500};
+constexpr std::chrono::milliseconds confirmation_retry_delay{500};
+
+constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
 
 } // namespace
 
 peer_directory::peer_directory(
     asio::io_context& context, shared_state& state,
     platform::row_store_client& row_store, datagram_sender send)
-    : state_(state), send_(std::move(send)),
+    : context_(context), state_(state), row_store_(row_store),
+      send_(std::move(send)),
       listener_table_(
           context, row_store,
           {.table = engine_status::listener_table,
@@ -36,10 +48,55 @@
     const platform::row_set& rows, platform::row_scope scope)
 {
     listeners_.apply(rows, scope);
+    update_position();
+}
+
+void peer_directory::start()
+{
+    listener_table_.start();
+    asio::co_spawn(context_, confirm_rows(), asio::detached);
+}
+
+asio::awaitable<void> peer_directory::confirm_rows()
+{
+    asio::steady_timer timer(context_, registration_time);
+    co_await timer.async_wait(completion);
+    for (;;)
+    {
+        const auto rows =
+            co_await row_store_.read_table(engine_status::listener_table);
+        if (rows)
+        {
+            // Rows that are missing stay known, as after a restoration.
+            listeners_.apply(rows.value(), platform::row_scope::restored_table);
+        }
+        if (rows && is_own_row_listed())
+        {
+            break;
+        }
+        timer.expires_after(confirmation_retry_delay);
+        co_await timer.async_wait(completion);
+    }
+    rows_confirmed_ = true;
+    update_position();
+}
+
+bool peer_directory::is_own_row_listed() const
+{
+    return listeners_.entries().contains(state_.settings.vm);
+}
+
+void peer_directory::update_position()
+{
+    if (!rows_confirmed_)
+    {
+        return;
+    }
     const auto current = position();
     state_.crashes.quarantine().set_trial_turn(current);
-    if (state_.limits.set_position(current))
+    if (state_.statements.set_position(current))
     {
+        state_.set_gateway_count(current.size);
         telemetry::event("fleet_position")
             .with("index", current.index)
             .with("gateways", current.size);
--- a/src/gateway/peer_directory.hpp
+++ b/src/gateway/peer_directory.hpp
@@ -8,6 +8,7 @@
 #include "platform/row_store_client.hpp"
 #include "platform/table_watcher.hpp"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
@@ -22,7 +23,10 @@
 namespace asio = boost::asio;
 
 /// Sends datagrams to other gateways, and passes the position of this one among
-/// them to the parts that need it. Runs until the io_context stops.
+/// them to the parts that need it. The position is unknown until the rows were
+/// read some time after this gateway wrote its own, because all gateways of a
+/// deployment may have started at the same moment. Runs until the io_context
+/// stops.
 class peer_directory
 {
 public:
@@ -35,7 +39,7 @@
     peer_directory(const peer_directory&) = delete;
     peer_directory& operator=(const peer_directory&) = delete;
 
-    void start() { listener_table_.start(); }
+    void start();
 
     /// Sends a datagram to all other gateways.
     void send_to_all(const std::string& datagram) const;
@@ -51,12 +55,21 @@
 
 private:
     void apply(const platform::row_set& rows, platform::row_scope scope);
+    /// Reads the rows again once all gateways that started with this one have
+    /// written theirs.
+    asio::awaitable<void> confirm_rows();
+    [[nodiscard]] bool is_own_row_listed() const;
+    void update_position();
     [[nodiscard]] fleet_position position() const;
 
+    asio::io_context& context_;
     shared_state& state_;
+    platform::row_store_client& row_store_;
     datagram_sender send_;
     platform::table_watcher listener_table_;
     engine_status::listener_directory listeners_;
+    /// Whether confirm_rows() has finished.
+    bool rows_confirmed_ = false;
 };
 
 } // namespace wagtailseam::gateway
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -51,6 +51,21 @@
     return ids.empty() ? "none" : ids;
 }
 
+result_code restriction_code(upstream_statement::restriction reason)
+{
+    using upstream_statement::restriction;
+    switch (reason)
+    {
+    case restriction::limited:
+        return result_code::upstreams_limited;
+    case restriction::paused:
+        return result_code::upstreams_paused;
+    case restriction::leaving:
+        break;
+    }
+    return result_code::upstreams_leaving;
+}
+
 } // namespace
 
 request_handler::request_handler(
@@ -178,7 +193,7 @@
             record_.code = result_code::retry_budget_spent;
             break;
         }
-        state_.limits.record_request(target->entry.id);
+        state_.statements.record_request(target->entry.id);
         const auto next = co_await run_attempt(*target);
         if (next == next_step::finished)
         {
@@ -199,7 +214,7 @@
 {
     auto query = make_upstream_query(
         state_, request_, tried_upstreams_, record_.executions == 0);
-    query.limited = state_.limits.exhausted();
+    query.restricted = state_.statements.restricted();
     auto selection =
         state_.upstreams.choose(query, state_.random, monotonic_clock::now());
     if (auto* const chosen = std::get_if<serving::chosen_upstream>(&selection))
@@ -207,10 +222,13 @@
         return std::move(*chosen);
     }
     record_.code = result_code::no_upstream;
-    if (auto* const limited = std::get_if<serving::all_limited>(&selection))
+    record_.restricted_upstreams.clear();
+    if (auto* const restricted =
+            std::get_if<serving::all_restricted>(&selection))
     {
-        record_.limited_upstreams = std::move(limited->upstreams);
-        record_.code = result_code::upstreams_limited;
+        record_.restricted_upstreams = std::move(restricted->upstreams);
+        record_.code = restriction_code(
+            state_.statements.first_end(record_.restricted_upstreams).reason);
     }
     else if (std::holds_alternative<serving::all_overloaded>(selection))
     {
@@ -324,13 +342,19 @@
 
 asio::awaitable<bool> request_handler::wait_for_upstream()
 {
-    if (record_.code == result_code::upstreams_limited)
+    // Upstreams that leave never take the request, and a limit that no share is
+    // left of ends late.
+    if (record_.code == result_code::upstreams_limited ||
+        record_.code == result_code::upstreams_leaving)
     {
         co_return false;
     }
     const auto now = monotonic_clock::now();
     const auto available_in =
-        state_.upstreams.retry_after(request_.service, now);
+        record_.code == result_code::upstreams_paused
+            ? state_.statements.first_end(record_.restricted_upstreams)
+                  .remaining
+            : state_.upstreams.retry_after(request_.service, now);
     const auto limit = std::min(
         request_.route->latency_target / upstream_wait_divisor,
         request_.received +
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -22,8 +22,9 @@
 /// Callers respect a Retry-After of at most their remaining time divided by
 /// this number.
 constexpr int retry_after_divisor = 3;
-/// Callers return within this time after the gateway's share of a limit begins.
-constexpr duration limit_return_time = std::chrono::milliseconds(500);
+/// Callers return within this time after the end of a pause, or the begin of
+/// the gateway's share of a limit.
+constexpr duration restriction_return_time = std::chrono::milliseconds(500);
 
 unsigned http_status_of(result_code code)
 {
@@ -60,7 +61,7 @@
 {
     if (!response.misdirected)
     {
-        return serving::refused_busy{response.retry_after};
+        return serving::refused_busy{};
     }
     const bool is_other_upstream =
         response.instance && *response.instance != target.entry.id;
@@ -82,13 +83,11 @@
     const serving::chosen_upstream& target, http::response_stream stream)
 {
     const auto response = platform::decode_response_head(stream.head());
-    const bool names_limit =
-        !std::holds_alternative<rate_limit::no_limit>(response.limit);
-    // A refusal may come from a part of the upstream that names no limits.
-    if (names_limit || !response.not_run)
+    // Another upstream may have the address by now.
+    if (!response.instance || *response.instance == target.entry.id)
     {
-        state_.limits.record_response(
-            {target.entry.id, target.entry.started_ms}, response.limit,
+        state_.statements.record_response(
+            serving::process_of(target.entry), response.statement,
             attempt_began_at_);
     }
     if (response.not_run)
@@ -184,7 +183,8 @@
         co_return body_end::cut_off;
     }
     // An upstream that leaves may exit after its last response.
-    if (state_.upstreams.is_leaving(target.entry.id, monotonic_clock::now()))
+    if (state_.statements.is_leaving(serving::process_of(target.entry)) ||
+        state_.upstreams.is_leaving(target.entry.id, monotonic_clock::now()))
     {
         co_return body_end::unverified;
     }
@@ -343,13 +343,18 @@
             min_retry_after, record_.quarantine->until - wall_clock::now());
     }
     // Callers that return at random times do not all meet at the first one.
+    if (!record_.restricted_upstreams.empty())
+    {
+        return std::max<duration>(
+            min_retry_after,
+            state_.statements.first_end(record_.restricted_upstreams)
+                    .remaining +
+                duration(static_cast<duration::rep>(
+                    state_.random.below(static_cast<std::uint64_t>(
+                        restriction_return_time.count())))));
+    }
     const duration delay =
-        record_.code == result_code::upstreams_limited
-            ? state_.limits.next_share(record_.limited_upstreams) +
-                  duration(static_cast<duration::rep>(state_.random.below(
-                      static_cast<std::uint64_t>(limit_return_time.count()))))
-            : state_.upstreams.retry_after(
-                  request_.service, monotonic_clock::now());
+        state_.upstreams.retry_after(request_.service, monotonic_clock::now());
     return std::clamp<duration>(
         delay, min_retry_after,
         std::max<duration>(
--- a/src/gateway/request_record.cpp
+++ b/src/gateway/request_record.cpp
@@ -51,10 +51,10 @@
         line.with("content", short_name(request.content().request))
             .with("cause", short_name(record.quarantine->cause));
     }
-    if (record.code == result_code::upstreams_limited)
+    if (!record.restricted_upstreams.empty())
     {
-        line.with("limited_upstreams", record.limited_upstreams.size())
-            .with("cause", record.limited_upstreams.begin()->value());
+        line.with("restricted_upstreams", record.restricted_upstreams.size())
+            .with("cause", record.restricted_upstreams.begin()->id);
     }
 }
 
--- a/src/gateway/request_record.hpp
+++ b/src/gateway/request_record.hpp
@@ -33,8 +33,9 @@
     duration expected_wait{};
     /// Set if the request is quarantined.
     std::optional<quarantine::quarantined> quarantine;
-    /// Upstreams that took no more requests, if that is why it was refused.
-    std::set<upstream_id> limited_upstreams;
+    /// Upstreams that took no requests of this gateway because of their own
+    /// statements, if that is why it was refused.
+    std::set<upstream_process> restricted_upstreams;
     /// Data about the last dispatch.
     dispatch_summary dispatch;
 };
--- a/src/gateway/shared_state.cpp
+++ b/src/gateway/shared_state.cpp
@@ -3,14 +3,18 @@
 
 #include "runtime/program.hpp"
 
+#include <algorithm>
+
 namespace wagtailseam::gateway
 {
 namespace
 {
 
-/// The retry slack is divided by this number of gateways. More gateways would
-/// exceed it in total.
-constexpr double max_gateways = 48;
+/// The retry slack is divided by at least this number of gateways.
+constexpr double min_slack_shares = 48;
+/// Leaves room for gateways that are added or restarted within one window of
+/// the budget.
+constexpr double slack_shares_per_gateway = 1.25;
 /// Part of the agreed retry ratio that a gateway uses. The margin is needed
 /// because the ratio is measured over sliding windows, and those of the
 /// gateways do not start together.
@@ -39,6 +43,17 @@
 void shared_state::apply_bounds(const platform::service_level_bounds& bounds)
 {
     settings.bounds = bounds;
+    update_retry_budgets();
+}
+
+void shared_state::set_gateway_count(std::size_t count)
+{
+    gateway_count_ = count;
+    update_retry_budgets();
+}
+
+void shared_state::update_retry_budgets()
+{
     for (auto& [service, budget] : retry_budgets)
     {
         budget.set_options(make_retry_budget_options());
@@ -47,8 +62,10 @@
 
 retry::retry_budget_options shared_state::make_retry_budget_options() const
 {
-    const double retry_slack =
-        settings.bounds.retry_budget_slack / max_gateways;
+    const double shares = std::max(
+        min_slack_shares, slack_shares_per_gateway *
+                              static_cast<double>(gateway_count_.value_or(0)));
+    const double retry_slack = settings.bounds.retry_budget_slack / shares;
     return {
         .success_ratio = 0,
         .request_ratio = settings.bounds.retry_budget_ratio * retry_ratio_share,
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -5,7 +5,7 @@
 
 #include "core/random_source.hpp"
 #include "gateway/crash_registry.hpp"
-#include "gateway/limit_registry.hpp"
+#include "gateway/statement_registry.hpp"
 #include "platform/settings_file.hpp"
 #include "retry/retry_budget.hpp"
 #include "serving/cache_view.hpp"
@@ -16,6 +16,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -55,7 +56,6 @@
     /// Whether the list of upstreams has been read completely at least once.
     bool upstream_list_read = false;
     serving::cache_view caches;
-    limit_registry limits;
     /// When the operator's table was last read, or reported as unchanged.
     mono_time operator_table_read_at;
     crash_registry crashes;
@@ -68,6 +68,7 @@
     /// Retry budgets by service.
     std::map<serving::service_id, retry::retry_budget> retry_budgets;
     telemetry::metrics metrics;
+    statement_registry statements{metrics};
     /// Limits the log lines of requests that succeeded at the first attempt.
     /// All other requests are always logged.
     telemetry::log_rate_limiter success_log_limiter{
@@ -77,11 +78,17 @@
     /// Returns the retry budget of a service, and creates it if necessary.
     [[nodiscard]] retry::retry_budget& retry_budget_for(
         const serving::service_id& service);
+    /// Divides the retry slack by the number of gateways.
+    void set_gateway_count(std::size_t count);
     /// Applies changed bounds. Retries that were spent stay spent.
     void apply_bounds(const platform::service_level_bounds& bounds);
 
 private:
     [[nodiscard]] retry::retry_budget_options make_retry_budget_options() const;
+    void update_retry_budgets();
+
+    /// Unset while this gateway does not know the others.
+    std::optional<std::size_t> gateway_count_;
 };
 
 } // namespace wagtailseam::gateway
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -91,7 +91,7 @@
           [this](const auto& datagram, const auto& receiver)
           { send_datagram(datagram, receiver); }),
       quarantine_sync_(context, state, row_store_, peers_),
-      limit_sync_(context, state, peers_),
+      statement_sync_(context, state, peers_),
       trial_claims_(context, state, row_store_),
       cache_store_client_(
           context.get_executor(),
@@ -107,7 +107,7 @@
     upstream_table_.start();
     peers_.start();
     quarantine_sync_.start();
-    limit_sync_.start();
+    statement_sync_.start();
     trial_claims_.start();
     asio::co_spawn(
         context_,
@@ -145,9 +145,9 @@
         {
             quarantine_sync_.handle_datagram(datagram);
         }
-        else if (rate_limit::is_limit_report(datagram))
+        else if (statement_sync::is_report(datagram))
         {
-            limit_sync_.handle_datagram(datagram);
+            statement_sync_.handle_datagram(datagram);
         }
         else
         {
@@ -409,7 +409,7 @@
         state_.upstreams.confirm_departure(removed->id);
         state_.crashes.record_process_end(
             {removed->id, removed->started_ms}, "unlisted");
-        state_.limits.erase({removed->id, removed->started_ms});
+        state_.statements.erase({removed->id, removed->started_ms});
     }
 }
 
@@ -434,7 +434,7 @@
     for (const auto& entry : ended)
     {
         state_.crashes.record_process_end({entry.id, entry.started_ms}, "list");
-        state_.limits.erase({entry.id, entry.started_ms});
+        state_.statements.erase({entry.id, entry.started_ms});
     }
 }
 
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -3,10 +3,10 @@
 #ifndef WAGTAILSEAM_GATEWAY_STATE_UPDATER_HPP
 #define WAGTAILSEAM_GATEWAY_STATE_UPDATER_HPP
 
-#include "gateway/limit_sync.hpp"
 #include "gateway/peer_directory.hpp"
 #include "gateway/quarantine_sync.hpp"
 #include "gateway/shared_state.hpp"
+#include "gateway/statement_sync.hpp"
 #include "gateway/trial_claims.hpp"
 #include "http/client.hpp"
 #include "platform/row_store_client.hpp"
@@ -89,7 +89,7 @@
     asio::ip::udp::socket agent_socket_;
     peer_directory peers_;
     quarantine_sync quarantine_sync_;
-    limit_sync limit_sync_;
+    statement_sync statement_sync_;
     trial_claims trial_claims_;
     http::client cache_store_client_;
     /// Agent incarnation and sequence number of the last status of each engine.
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -147,7 +147,7 @@
 {
     const auto turns =
         static_cast<std::size_t>(now.time_since_epoch() / options_.turn_length);
-    return turns % turn_.size == turn_.index;
+    return turn_ && turns % turn_->size == turn_->index;
 }
 
 std::vector<content_fingerprint> request_quarantine::begin_trial(
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -151,7 +151,8 @@
     request_quarantine_options options_;
     crash_record_cache records_;
     /// Position of this gateway among those that try quarantined parts.
-    fleet_position turn_;
+    /// Unset: this gateway does not know the others, and tries no part.
+    std::optional<fleet_position> turn_;
     /// Suspects that this process is running.
     std::set<content_fingerprint> trials_;
     /// Earliest times of trials that other gateways may have claimed.
--- a/src/quarantine/test/request_quarantine_test.cpp
+++ b/src/quarantine/test/request_quarantine_test.cpp
@@ -303,6 +303,8 @@
 class part_quarantine_fixture : public testing::Test
 {
 protected:
+    part_quarantine_fixture() { quarantine_.set_trial_turn({}); }
+
     /// Records that the parts were running during the crashes of a range.
     void crash_with(
         const std::vector<content_fingerprint>& parts, int first, int last)
@@ -418,6 +420,20 @@
     EXPECT_EQ(turns, 1);
 }
 
+TEST_F(part_quarantine_fixture, gateway_that_knows_no_others_tries_no_part)
+{
+    request_quarantine started;
+    for (int number = 1; number <= 3; ++number)
+    {
+        started.record_crash(
+            {bad_, suspect_kind::prompt_part}, crash(number), now_);
+    }
+    const auto later = now_ + seconds(30);
+    EXPECT_TRUE(is_refused(started.check({request("r"), {bad_}}, later)));
+    started.set_trial_turn({});
+    EXPECT_TRUE(is_suspect(started.check({request("r"), {bad_}}, later)));
+}
+
 TEST_F(part_quarantine_fixture, each_further_crash_doubles_the_time_to_a_trial)
 {
     crash_with({bad_}, 1, 5);
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -331,9 +331,10 @@
         {
             continue;
         }
-        if (query.limited.contains(id))
+        const auto process = process_of(state.entry);
+        if (query.restricted.contains(process))
         {
-            found.limited.upstreams.insert(id);
+            found.restricted.upstreams.insert(process);
             continue;
         }
         if (query.max_prompts_waiting &&
@@ -368,9 +369,9 @@
         {
             return all_overloaded{};
         }
-        return found.limited.upstreams.empty()
+        return found.restricted.upstreams.empty()
                    ? choice(none_available{})
-                   : choice(std::move(found.limited));
+                   : choice(std::move(found.restricted));
     }
     if (query.affinity_key != 0)
     {
@@ -519,16 +520,8 @@
                         options_.connect_pause * (1U << doublings)),
                     now);
             },
-            [&](const refused_busy& refused)
-            {
-                pause(
-                    state,
-                    refused.retry_after > duration::zero()
-                        ? std::min(
-                              refused.retry_after, options_.max_connect_pause)
-                        : options_.busy_pause,
-                    now);
-            },
+            [&](const refused_busy&)
+            { pause(state, options_.busy_pause, now); },
             [&](const misdirected&) { state.removed_at = now; },
             [&](const weights_differ& mismatch)
             {
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -28,8 +28,6 @@
 /// The upstream reported that it did not run the request.
 struct refused_busy
 {
-    /// Retry delay that the upstream requested; zero if it named none.
-    duration retry_after{};
 };
 
 /// The address now belongs to another upstream.
@@ -93,7 +91,7 @@
     /// Pause after the first failed connection; doubles with each further one.
     duration connect_pause = std::chrono::milliseconds(400);
     duration max_connect_pause = std::chrono::seconds(4);
-    /// Pause after a refusal that names no retry delay.
+    /// Pause after a refusal, beside the one that the upstream asks for.
     duration busy_pause = std::chrono::milliseconds(120);
     /// Weight of one attempt in the moving average of failures.
     double failure_smoothing = 0.3;
@@ -143,8 +141,8 @@
     std::optional<std::uint32_t> max_prompts_waiting;
     /// Upstreams that earlier attempts of the request tried.
     std::set<upstream_id> excluded;
-    /// Upstreams that take no more requests of this gateway for now.
-    std::set<upstream_id> limited;
+    /// Upstreams that, as they stated, take no requests of this gateway now.
+    std::set<upstream_process> restricted;
 };
 
 /// An upstream chosen for one attempt.
@@ -166,11 +164,11 @@
 {
 };
 
-/// Every other upstream is unavailable.
-struct all_limited
+/// Every upstream is restricted or unavailable.
+struct all_restricted
 {
-    /// Those that would have been eligible.
-    std::set<upstream_id> upstreams;
+    /// Those that would have been eligible without their restriction.
+    std::set<upstream_process> upstreams;
 };
 
 /// No upstream is available.
@@ -178,8 +176,8 @@
 {
 };
 
-using choice =
-    std::variant<chosen_upstream, all_overloaded, all_limited, none_available>;
+using choice = std::variant<
+    chosen_upstream, all_overloaded, all_restricted, none_available>;
 
 /// Not thread-safe. Memory and time: linear in the number of upstreams.
 class load_balancer
@@ -286,8 +284,8 @@
         std::vector<candidate> candidates;
         /// Whether an upstream was left out for its waiting prompts.
         bool any_overloaded = false;
-        /// Upstreams that were left out because they are limited.
-        all_limited limited;
+        /// Upstreams that were left out because they are restricted.
+        all_restricted restricted;
     };
 
     [[nodiscard]] candidate_list list_candidates(
--- a/src/serving/test/load_balancer_test.cpp
+++ b/src/serving/test/load_balancer_test.cpp
@@ -151,19 +151,19 @@
     EXPECT_LE(previous_pause, seconds(4));
 }
 
-TEST_F(load_balancer_fixture, limited_upstream_is_left_to_others)
+TEST_F(load_balancer_fixture, restricted_upstream_is_left_to_others)
 {
     list("a");
     list("b");
     auto query = make_query();
-    query.limited = {upstream_id{"a"}};
+    query.restricted = {{upstream_id{"a"}}};
     EXPECT_EQ(chosen_id(query), "b");
-    query.limited = {upstream_id{"a"}, upstream_id{"b"}};
+    query.restricted = {{upstream_id{"a"}}, {upstream_id{"b"}}};
     const auto selection = balancer_.choose(query, random_, now_);
-    const auto* const limited = std::get_if<all_limited>(&selection);
-    ASSERT_NE(limited, nullptr);
-    EXPECT_EQ(limited->upstreams, query.limited);
-    query.excluded = query.limited;
+    const auto* const restricted = std::get_if<all_restricted>(&selection);
+    ASSERT_NE(restricted, nullptr);
+    EXPECT_EQ(restricted->upstreams, query.restricted);
+    query.excluded = {upstream_id{"a"}, upstream_id{"b"}};
     EXPECT_TRUE(std::holds_alternative<none_available>(
         balancer_.choose(query, random_, now_)));
 }
--- a/src/serving/upstream.hpp
+++ b/src/serving/upstream.hpp
@@ -3,6 +3,7 @@
 #define WAGTAILSEAM_SERVING_UPSTREAM_HPP
 
 #include "core/clock.hpp"
+#include "core/upstream_process.hpp"
 #include "http/message.hpp"
 #include "serving/ids.hpp"
 
@@ -31,6 +32,11 @@
     friend bool operator==(const upstream&, const upstream&) = default;
 };
 
+[[nodiscard]] inline upstream_process process_of(const upstream& entry)
+{
+    return {entry.id, entry.started_ms};
+}
+
 /// Prompts that were sent to an engine and whose prefill has not finished.
 struct pending_prefill
 {
--- /dev/null
+++ b/src/upstream_statement/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(upstream_statement DEPENDS wagtail_core wagtail_rate_limit)
