Send prompts by the free memory and the queue time of engines

With fewer engines memory is exhausted: requests are preempted (411) and read again, no room is left for cached parts, prefill slows generation, so requests stay longer. Nothing knew the memory.

Ruled out: stores whose contents are not known (planned fetches stay at 1.7 of 2 parts), the prefill rate (45 % of it was used).

--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -370,6 +370,9 @@
         .accepted_orders = report.value().accepted_orders,
         .prompts_waiting = report.value().prompts_waiting,
         .running = report.value().running,
+        .memory =
+            {.used = report.value().memory_used,
+             .total = report.value().memory_total},
         .started_ms = report.value().started_ms};
     co_return true;
 }
@@ -381,6 +384,7 @@
     next.upstream = own_id_;
     next.prompts_waiting = engine_.prompts_waiting;
     next.running = engine_.running;
+    next.memory = engine_.memory;
     next.loading = loading;
     next.weights = engine_.weights;
     if (next == status_ && now - status_sent_at_ < status_repeat_interval)
@@ -398,6 +402,8 @@
             .with("upstream", own_id_)
             .with("prompts_waiting", status_.prompts_waiting)
             .with("running", status_.running)
+            .with("memory_used", status_.memory.used.value())
+            .with("memory_total", status_.memory.total.value())
             .with("loading", status_.loading ? 1 : 0)
             .with("listeners", listeners_.entries().size());
     }
@@ -448,7 +454,8 @@
         auto status = status_;
         status.prefill_of_other_gateways = serving::pending_prefill{
             .prompts = total.prompts - receiver.prompts,
-            .prefill_time = total.prefill_time - receiver.prefill_time};
+            .prefill_time = total.prefill_time - receiver.prefill_time,
+            .tokens = total.tokens - receiver.tokens};
         send(engine_status::encode(status), listener.address);
     }
 }
--- a/src/agent/weight_load_scheduler.hpp
+++ b/src/agent/weight_load_scheduler.hpp
@@ -7,6 +7,7 @@
 #include "core/clock.hpp"
 #include "serving/configuration.hpp"
 #include "serving/ids.hpp"
+#include "serving/upstream.hpp"
 
 #include <cstdint>
 #include <map>
@@ -39,6 +40,7 @@
     std::uint64_t accepted_orders = 0;
     std::uint32_t prompts_waiting = 0;
     std::uint32_t running = 0;
+    serving::engine_memory memory;
     /// Start time of this instance, see serving::upstream.
     std::uint64_t started_ms = 0;
 };
--- a/src/engine_status/prefill_report.cpp
+++ b/src/engine_status/prefill_report.cpp
@@ -24,7 +24,8 @@
     const json document = json::array(
         {report.gateway.value(), report.upstream.value(), report.incarnation,
          report.sequence_number, report.pending_prefill.prompts,
-         report.pending_prefill.prefill_time.count()});
+         report.pending_prefill.prefill_time.count(),
+         report.pending_prefill.tokens.value()});
     std::string datagram(1, type_tag);
     json::to_msgpack(document, datagram);
     return datagram;
@@ -43,8 +44,14 @@
             result_code::malformed_message, "datagram is not a prefill report");
     }
     const auto document = json::from_msgpack(datagram.substr(1), true, false);
+    // Absent in reports of earlier releases.
+    constexpr std::size_t tokens_index = 6;
     try
     {
+        const token_count tokens{
+            document.size() > tokens_index
+                ? document.at(tokens_index).get<std::uint64_t>()
+                : 0};
         return prefill_report{
             .gateway = vm_id{document.at(0).get<std::string>()},
             .upstream = upstream_id{document.at(1).get<std::string>()},
@@ -52,7 +59,8 @@
             .sequence_number = document.at(3).get<std::uint64_t>(),
             .pending_prefill = {
                 .prompts = document.at(4).get<std::uint32_t>(),
-                .prefill_time = duration(document.at(5).get<duration::rep>())}};
+                .prefill_time = duration(document.at(5).get<duration::rep>()),
+                .tokens = tokens}};
     }
     catch (const json::exception& exception)
     {
@@ -93,6 +101,7 @@
         {
             sum.prompts += stored.report.pending_prefill.prompts;
             sum.prefill_time += stored.report.pending_prefill.prefill_time;
+            sum.tokens += stored.report.pending_prefill.tokens;
         }
     }
     return sum;
--- a/src/engine_status/status.cpp
+++ b/src/engine_status/status.cpp
@@ -15,14 +15,20 @@
         weights[model.value()] = version.value();
     }
     nlohmann::json document{
-        {"u", value.upstream.value()}, {"n", value.sequence_number},
-        {"l", value.incarnation},      {"p", value.prompts_waiting},
-        {"r", value.running},          {"b", value.loading},
+        {"u", value.upstream.value()},
+        {"n", value.sequence_number},
+        {"l", value.incarnation},
+        {"p", value.prompts_waiting},
+        {"r", value.running},
+        {"b", value.loading},
+        {"k", value.memory.used.value()},
+        {"m", value.memory.total.value()},
         {"w", std::move(weights)}};
     if (value.prefill_of_other_gateways)
     {
         document["o"] = value.prefill_of_other_gateways->prompts;
         document["t"] = value.prefill_of_other_gateways->prefill_time.count();
+        document["s"] = value.prefill_of_other_gateways->tokens.value();
     }
     std::string datagram;
     nlohmann::json::to_msgpack(document, datagram);
@@ -47,6 +53,10 @@
         value.prompts_waiting = document.at("p").get<std::uint32_t>();
         value.running = document.at("r").get<std::uint32_t>();
         value.loading = document.at("b").get<bool>();
+        // Absent in datagrams of earlier releases.
+        value.memory = {
+            .used = token_count{document.value("k", std::uint64_t{0})},
+            .total = token_count{document.value("m", std::uint64_t{0})}};
         for (const auto& [model, version] : document.at("w").items())
         {
             value.weights.insert_or_assign(
@@ -56,8 +66,8 @@
         {
             value.prefill_of_other_gateways = serving::pending_prefill{
                 .prompts = document.at("o").get<std::uint32_t>(),
-                .prefill_time =
-                    duration(document.at("t").get<duration::rep>())};
+                .prefill_time = duration(document.at("t").get<duration::rep>()),
+                .tokens = token_count{document.value("s", std::uint64_t{0})}};
         }
         return value;
     }
--- a/src/engine_status/status.hpp
+++ b/src/engine_status/status.hpp
@@ -30,6 +30,7 @@
     std::uint32_t prompts_waiting = 0;
     /// Requests that are generating tokens.
     std::uint32_t running = 0;
+    serving::engine_memory memory;
     /// The engine is loading weights and accepts no requests.
     bool loading = false;
     std::map<model_id, weight_version> weights;
--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -18,12 +18,6 @@
 /// The age of a weight version received at startup is unknown. Requests stop
 /// using older weights this long before the resync deadline.
 constexpr std::chrono::milliseconds startup_resync_margin{500};
-/// A request may have one prompt queued ahead of it for each such part of its
-/// latency target.
-constexpr std::chrono::milliseconds latency_target_per_queued_prompt{150};
-/// Number of additional prompts that may be queued ahead of a repeated request,
-/// which gives it precedence over new requests.
-constexpr std::uint32_t repeated_request_queue_bonus = 3;
 constexpr unsigned max_urgency = 9;
 
 /// Prefill rate of an engine: about 90 tokens per ms, reduced by the share that
@@ -83,18 +77,14 @@
     return routing::stable_hash(longest->id.value());
 }
 
-/// Returns how many prompts may be queued ahead of the request at an engine.
-std::uint32_t max_prompts_waiting(const accepted_request& request)
+/// Returns how long the request may wait for an engine to start on it.
+duration max_wait(const accepted_request& request)
 {
-    const auto limit_by_target = static_cast<std::uint32_t>(
-        request.route->latency_target / latency_target_per_queued_prompt);
     // Urgent prompts overtake queued ones.
-    const std::uint32_t limit_by_priority =
-        request.route->priority == 0 ? limit_by_target * 2 : limit_by_target;
+    const int factor = request.route->priority == 0 ? 2 : 1;
     const bool is_repeated =
         request.call.time_left < request.route->timeout * 9 / 10;
-    return std::max(1U, limit_by_priority) +
-           (is_repeated ? repeated_request_queue_bonus : 0);
+    return request.route->latency_target * (factor + (is_repeated ? 1 : 0));
 }
 
 /// Returns the weight version that the operator requested for a model, or null.
@@ -188,7 +178,8 @@
     }
     if (limit_queue_length)
     {
-        query.max_prompts_waiting = max_prompts_waiting(request);
+        query.max_wait = max_wait(request);
+        query.tokens = request.call.prompt->needed_memory();
     }
     const auto& model = request.call.prompt->model;
     query.model = model;
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -230,9 +230,12 @@
         record_.code = restriction_code(
             state_.statements.first_end(record_.restricted_upstreams).reason);
     }
-    else if (std::holds_alternative<serving::all_overloaded>(selection))
+    else if (
+        const auto* const overloaded =
+            std::get_if<serving::all_overloaded>(&selection))
     {
         record_.code = result_code::queue_full;
+        record_.excess_wait = overloaded->excess_wait;
     }
     return std::nullopt;
 }
@@ -420,10 +423,14 @@
 {
     const auto& id = target.entry.id;
     attempt_began_at_ = monotonic_clock::now();
-    state_.upstreams.begin_attempt(id, planned.prefill_time);
+    const serving::prompt_load load{
+        .prefill_time = planned.prefill_time,
+        .tokens = request_.call.prompt ? request_.call.prompt->needed_memory()
+                                       : token_count{}};
+    state_.upstreams.begin_attempt(id, load);
     pending_prompt_ = pending_prompt{
         .upstream = id,
-        .prefill_time = planned.prefill_time,
+        .load = load,
         .dispatched_at = attempt_began_at_,
         .expected_wait = target.expected_wait,
         .main_cache_source = planned.main_cache_source};
@@ -437,7 +444,8 @@
         return;
     }
     state_.upstreams.finish_prefill(
-        pending_prompt_->upstream, pending_prompt_->prefill_time);
+        pending_prompt_->upstream, pending_prompt_->load,
+        monotonic_clock::now());
     state_.on_pending_prefill_changed(pending_prompt_->upstream);
     if (response_began && request_.call.prompt)
     {
@@ -445,7 +453,8 @@
         state_.caches.record_first_byte(
             pending_prompt_->main_cache_source,
             now - pending_prompt_->dispatched_at -
-                pending_prompt_->expected_wait - pending_prompt_->prefill_time,
+                pending_prompt_->expected_wait -
+                pending_prompt_->load.prefill_time,
             request_.route->latency_target, now);
     }
     pending_prompt_.reset();
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -149,7 +149,7 @@
     struct pending_prompt
     {
         upstream_id upstream;
-        duration prefill_time{};
+        serving::prompt_load load;
         mono_time dispatched_at;
         duration expected_wait{};
         std::optional<http::address> main_cache_source;
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -343,18 +343,24 @@
             min_retry_after, record_.quarantine->until - wall_clock::now());
     }
     // Callers that return at random times do not all meet at the first one.
+    const auto jitter = [this](duration range)
+    {
+        return duration(static_cast<duration::rep>(
+            state_.random.below(static_cast<std::uint64_t>(range.count()))));
+    };
     if (!record_.restricted_upstreams.empty())
     {
         return std::max<duration>(
             min_retry_after,
             state_.statements.first_end(record_.restricted_upstreams)
                     .remaining +
-                duration(static_cast<duration::rep>(
-                    state_.random.below(static_cast<std::uint64_t>(
-                        restriction_return_time.count())))));
+                jitter(restriction_return_time));
     }
     const duration delay =
-        state_.upstreams.retry_after(request_.service, monotonic_clock::now());
+        record_.code == result_code::queue_full
+            ? record_.excess_wait + jitter(request_.route->latency_target)
+            : state_.upstreams.retry_after(
+                  request_.service, monotonic_clock::now());
     return std::clamp<duration>(
         delay, min_retry_after,
         std::max<duration>(
--- a/src/gateway/request_record.hpp
+++ b/src/gateway/request_record.hpp
@@ -36,6 +36,8 @@
     /// Upstreams that took no requests of this gateway because of their own
     /// statements, if that is why it was refused.
     std::set<upstream_process> restricted_upstreams;
+    /// Time after which the shortest queue has room, if all queues were full.
+    duration excess_wait{};
     /// Data about the last dispatch.
     dispatch_summary dispatch;
 };
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -178,6 +178,7 @@
         status.upstream,
         {.prompts_waiting = status.prompts_waiting,
          .running = status.running,
+         .memory = status.memory,
          .loading_weights = status.loading,
          .weights = status.weights,
          .prefill_of_other_gateways = status.prefill_of_other_gateways},
--- a/src/serving/call.hpp
+++ b/src/serving/call.hpp
@@ -30,6 +30,11 @@
     token_count prompt_tokens;
     token_count max_output_tokens;
 
+    /// Returns the tokens for which an engine needs memory.
+    [[nodiscard]] token_count needed_memory() const noexcept
+    {
+        return prompt_tokens + max_output_tokens;
+    }
     /// Returns all parts but the last.
     [[nodiscard]] std::span<const prompt_part> shared_parts() const noexcept
     {
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -337,10 +337,19 @@
             found.restricted.upstreams.insert(process);
             continue;
         }
-        if (query.max_prompts_waiting &&
-            prompts_waiting(state, now) >= *query.max_prompts_waiting)
+        if (query.max_wait && !has_memory(state, query.tokens, now))
         {
-            found.any_overloaded = true;
+            const duration next_report = memory_estimate_options{}.report_age;
+            found.min_excess_wait = std::min(
+                next_report, found.min_excess_wait.value_or(next_report));
+            continue;
+        }
+        const duration wait = expected_wait(state, now);
+        if (query.max_wait && wait > *query.max_wait)
+        {
+            const duration excess = wait - *query.max_wait;
+            found.min_excess_wait =
+                std::min(excess, found.min_excess_wait.value_or(excess));
             continue;
         }
         // Gateways with the same load report would all choose the same
@@ -365,9 +374,9 @@
     auto& candidates = found.candidates;
     if (candidates.empty())
     {
-        if (found.any_overloaded)
+        if (found.min_excess_wait)
         {
-            return all_overloaded{};
+            return all_overloaded{*found.min_excess_wait};
         }
         return found.restricted.upstreams.empty()
                    ? choice(none_available{})
@@ -423,7 +432,21 @@
     return is_draining_or_removed(found->second, now);
 }
 
-void load_balancer::begin_attempt(const upstream_id& id, duration prefill_time)
+bool load_balancer::has_memory(
+    const upstream_state& state, token_count tokens, mono_time now) const
+{
+    if (!is_load_known(state, now))
+    {
+        return true;
+    }
+    const auto& others = state.load.prefill_of_other_gateways;
+    return state.memory.fits(
+        state.load.memory, others ? others->tokens : token_count{}, tokens,
+        now);
+}
+
+void load_balancer::begin_attempt(
+    const upstream_id& id, const prompt_load& load)
 {
     const auto found = upstreams_.find(id);
     if (found != upstreams_.end())
@@ -432,11 +455,13 @@
         ++state.in_flight;
         ++state.sent_since_load;
         ++state.own_pending_prefill.prompts;
-        state.own_pending_prefill.prefill_time += prefill_time;
+        state.own_pending_prefill.prefill_time += load.prefill_time;
+        state.memory.begin(load.tokens);
     }
 }
 
-void load_balancer::finish_prefill(const upstream_id& id, duration prefill_time)
+void load_balancer::finish_prefill(
+    const upstream_id& id, const prompt_load& load, mono_time now)
 {
     const auto found = upstreams_.find(id);
     // The upstream may have been removed and listed again since the attempt
@@ -447,15 +472,21 @@
         auto& own = found->second.own_pending_prefill;
         --own.prompts;
         own.prefill_time =
-            std::max(duration::zero(), own.prefill_time - prefill_time);
+            std::max(duration::zero(), own.prefill_time - load.prefill_time);
+        found->second.memory.finish_prefill(load.tokens, now);
     }
 }
 
 pending_prefill load_balancer::own_pending_prefill(const upstream_id& id) const
 {
     const auto found = upstreams_.find(id);
-    return found == upstreams_.end() ? pending_prefill{}
-                                     : found->second.own_pending_prefill;
+    if (found == upstreams_.end())
+    {
+        return {};
+    }
+    auto pending = found->second.own_pending_prefill;
+    pending.tokens = found->second.memory.pending();
+    return pending;
 }
 
 std::vector<upstream_id> load_balancer::upstreams_with_own_prefill() const
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -5,6 +5,7 @@
 
 #include "core/clock.hpp"
 #include "core/random_source.hpp"
+#include "serving/memory_estimate.hpp"
 #include "serving/upstream.hpp"
 
 #include <cstddef>
@@ -78,6 +79,7 @@
     std::uint32_t prompts_waiting = 0;
     /// Requests that generate tokens.
     std::uint32_t running = 0;
+    engine_memory memory;
     /// Whether it is loading weights and accepts no requests.
     bool loading_weights = false;
     std::map<model_id, weight_version> weights;
@@ -136,15 +138,26 @@
     weight_version wanted_version;
     /// Excludes upstreams with older weights than the wanted version.
     bool require_wanted_version = false;
-    /// Excludes engines with this many waiting prompts or more, because they
-    /// generate tokens too slowly for all their requests. Unset: no limit.
-    std::optional<std::uint32_t> max_prompts_waiting;
+    /// Excludes engines that start on the request later than this. Unset: no
+    /// limit.
+    std::optional<duration> max_wait;
+    /// Tokens for which an engine needs memory.
+    token_count tokens;
     /// Upstreams that earlier attempts of the request tried.
     std::set<upstream_id> excluded;
     /// Upstreams that, as they stated, take no requests of this gateway now.
     std::set<upstream_process> restricted;
 };
 
+/// What a request demands of an engine.
+struct prompt_load
+{
+    /// Estimated duration of its prefill.
+    duration prefill_time{};
+    /// Tokens for which it needs memory.
+    token_count tokens;
+};
+
 /// An upstream chosen for one attempt.
 struct chosen_upstream
 {
@@ -159,9 +172,11 @@
     double failure_share = 0;
 };
 
-/// Every available upstream has too many prompts waiting.
+/// Every available upstream has too long a queue.
 struct all_overloaded
 {
+    /// Time until the shortest queue is within the limit.
+    duration excess_wait{};
 };
 
 /// Every upstream is restricted or unavailable.
@@ -223,12 +238,12 @@
     /// gets no new requests.
     [[nodiscard]] bool is_leaving(const upstream_id& id, mono_time now) const;
 
-    /// @param prefill_time estimated duration of the prompt's prefill
-    void begin_attempt(const upstream_id& id, duration prefill_time);
+    void begin_attempt(const upstream_id& id, const prompt_load& load);
     /// Called when the first byte of the answer arrived or the attempt ended
     /// without one.
-    /// @param prefill_time the value that was passed to begin_attempt
-    void finish_prefill(const upstream_id& id, duration prefill_time);
+    /// @param load the value that was passed to begin_attempt
+    void finish_prefill(
+        const upstream_id& id, const prompt_load& load, mono_time now);
     /// Returns the pending prefills of this process at an upstream.
     [[nodiscard]] pending_prefill own_pending_prefill(
         const upstream_id& id) const;
@@ -263,6 +278,7 @@
         /// Requests that this process sent after that.
         std::uint32_t sent_since_load = 0;
         pending_prefill own_pending_prefill;
+        memory_estimate memory;
         /// Share of failures at `failures_updated`; decays after that. Within
         /// [0, 1].
         double failure_share = 0;
@@ -282,8 +298,9 @@
     struct candidate_list
     {
         std::vector<candidate> candidates;
-        /// Whether an upstream was left out for its waiting prompts.
-        bool any_overloaded = false;
+        /// Shortest excess over the limit of the wait, among the upstreams that
+        /// were left out for it.
+        std::optional<duration> min_excess_wait;
         /// Upstreams that were left out because they are restricted.
         all_restricted restricted;
     };
@@ -313,6 +330,9 @@
         const upstream_state& state, mono_time now) const;
     [[nodiscard]] duration expected_wait(
         const upstream_state& state, mono_time now) const;
+    /// Returns whether the engine has memory for the tokens.
+    [[nodiscard]] bool has_memory(
+        const upstream_state& state, token_count tokens, mono_time now) const;
     [[nodiscard]] duration cost(
         const upstream_state& state, const upstream_query& query,
         mono_time now) const;
--- a/src/serving/upstream.hpp
+++ b/src/serving/upstream.hpp
@@ -37,12 +37,26 @@
     return {entry.id, entry.started_ms};
 }
 
+/// Memory of an engine for the tokens of its requests.
+struct engine_memory
+{
+    /// Occupied by running requests. Cached parts yield and are not included.
+    token_count used;
+    /// Zero if unknown.
+    token_count total;
+
+    friend bool operator==(const engine_memory&, const engine_memory&) =
+        default;
+};
+
 /// Prompts that were sent to an engine and whose prefill has not finished.
 struct pending_prefill
 {
     std::uint32_t prompts = 0;
     /// Estimated total duration of their prefill.
     duration prefill_time{};
+    /// Tokens for which they need memory of the engine.
+    token_count tokens;
 
     friend bool operator==(const pending_prefill&, const pending_prefill&) =
         default;
