--- a/src/serving/memory_estimate.cpp
+++ b/src/serving/memory_estimate.cpp
@@ -35,16 +35,19 @@
     {
         return true;
     }
-    auto needed = memory.used + pending_ + other_pending + tokens;
+    auto occupied = memory.used + pending_ + other_pending;
     for (const auto& finished : unreported_)
     {
         if (now - finished.at < options_.report_age)
         {
-            needed += finished.tokens;
+            occupied += finished.tokens;
         }
     }
-    return static_cast<double>(needed.value()) <=
-           static_cast<double>(memory.total.value()) * options_.max_share;
+    const token_count usable{static_cast<std::uint64_t>(
+        static_cast<double>(memory.total.value()) * options_.max_share)};
+    // A request that needs more than the share would otherwise never fit.
+    const bool is_nearly_empty = occupied <= memory.total - usable;
+    return occupied + tokens <= (is_nearly_empty ? memory.total : usable);
 }
 
 } // namespace wagtailseam::serving
--- a/src/serving/test/memory_bound_pool_test.cpp
+++ b/src/serving/test/memory_bound_pool_test.cpp
@@ -3,8 +3,8 @@
 //
 // The load that does not end by itself: an engine whose memory is exhausted
 // preempts requests and runs their whole prefill again, and has no room for
-// cached parts; prefill slows the generation of tokens, so requests stay longer,
-// so more of them are in memory at the same time.
+// cached parts; prefill slows the generation of tokens, so requests stay
+// longer, so more of them are in memory at the same time.
 #include "serving/load_balancer.hpp"
 
 #include <gtest/gtest.h>
--- a/src/serving/test/memory_estimate_test.cpp
+++ b/src/serving/test/memory_estimate_test.cpp
@@ -32,6 +32,13 @@
     EXPECT_FALSE(fits(500, 401));
 }
 
+TEST_F(memory_estimate_fixture, largest_request_fits_a_nearly_empty_engine)
+{
+    EXPECT_TRUE(fits(100, 900));
+    EXPECT_FALSE(fits(101, 899));
+    EXPECT_FALSE(fits(0, 1001));
+}
+
 TEST_F(memory_estimate_fixture, unknown_memory_fits_everything)
 {
     EXPECT_TRUE(estimate_.fits({}, {}, token_count{1'000'000}, now_));
