--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -235,7 +235,7 @@
             std::get_if<serving::all_overloaded>(&selection))
     {
         record_.code = result_code::queue_full;
-        record_.excess_wait = overloaded->excess_wait;
+        record_.overload = *overloaded;
     }
     return std::nullopt;
 }
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -357,8 +357,9 @@
                 jitter(restriction_return_time));
     }
     const duration delay =
-        record_.code == result_code::queue_full
-            ? record_.excess_wait + jitter(request_.route->latency_target)
+        record_.code == result_code::queue_full && record_.overload
+            ? record_.overload->excess_wait +
+                  jitter(request_.route->latency_target)
             : state_.upstreams.retry_after(
                   request_.service, monotonic_clock::now());
     return std::clamp<duration>(
--- a/src/gateway/request_record.cpp
+++ b/src/gateway/request_record.cpp
@@ -51,6 +51,11 @@
         line.with("content", short_name(request.content().request))
             .with("cause", short_name(record.quarantine->cause));
     }
+    if (record.code == result_code::queue_full && record.overload)
+    {
+        line.with("queue_excess_us", record.overload->excess_wait.count())
+            .with("engines_without_memory", record.overload->without_memory);
+    }
     if (!record.restricted_upstreams.empty())
     {
         line.with("restricted_upstreams", record.restricted_upstreams.size())
--- a/src/gateway/request_record.hpp
+++ b/src/gateway/request_record.hpp
@@ -4,6 +4,7 @@
 
 #include "gateway/dispatch_plan.hpp"
 #include "http/client.hpp"
+#include "serving/load_balancer.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -36,8 +37,8 @@
     /// Upstreams that took no requests of this gateway because of their own
     /// statements, if that is why it was refused.
     std::set<upstream_process> restricted_upstreams;
-    /// Time after which the shortest queue has room, if all queues were full.
-    duration excess_wait{};
+    /// Set if it was refused because all queues were full.
+    std::optional<serving::all_overloaded> overload;
     /// Data about the last dispatch.
     dispatch_summary dispatch;
 };
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -339,6 +339,7 @@
         }
         if (query.max_wait && !has_memory(state, query.tokens, now))
         {
+            ++found.without_memory;
             const duration next_report = memory_estimate_options{}.report_age;
             found.min_excess_wait = std::min(
                 next_report, found.min_excess_wait.value_or(next_report));
@@ -376,7 +377,9 @@
     {
         if (found.min_excess_wait)
         {
-            return all_overloaded{*found.min_excess_wait};
+            return all_overloaded{
+                .excess_wait = *found.min_excess_wait,
+                .without_memory = found.without_memory};
         }
         return found.restricted.upstreams.empty()
                    ? choice(none_available{})
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -177,6 +177,8 @@
 {
     /// Time until the shortest queue is within the limit.
     duration excess_wait{};
+    /// Number of upstreams that have no memory for the request.
+    std::size_t without_memory = 0;
 };
 
 /// Every upstream is restricted or unavailable.
@@ -301,6 +303,8 @@
         /// Shortest excess over the limit of the wait, among the upstreams that
         /// were left out for it.
         std::optional<duration> min_excess_wait;
+        /// Number of upstreams that were left out for their memory.
+        std::size_t without_memory = 0;
         /// Upstreams that were left out because they are restricted.
         all_restricted restricted;
     };
