Read large answers in few turns, and send no request of a caller that left

Callers got 404 on routes that had been added, and requests were sent on after their callers had left.

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -158,6 +158,8 @@
 {
     for (;;)
     {
+        caller_disconnected_ =
+            caller_disconnected_ || !exchange_.is_caller_connected();
         if (caller_disconnected_)
         {
             record_.code = result_code::caller_gone;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -12,7 +12,6 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <netinet/tcp.h>
 #include <optional>
@@ -28,7 +27,6 @@
 using tcp = asio::ip::tcp;
 
 constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
-constexpr std::size_t read_buffer_bytes = std::size_t{4} * 1024;
 /// Larger bodies are written while the response is read. Otherwise, a
 /// server that responds before it has read the body would deadlock with the
 /// client as soon as the socket buffers are full.
@@ -254,6 +252,12 @@
             result_code::upstream_unreachable, endpoint.error().detail);
     }
     auto conn = std::make_shared<connection>(executor);
+    if (options.read_buffer_bytes > small_read_buffer_bytes)
+    {
+        // A buffer that grows by need takes a few hundred bytes at once.
+        conn->buffer.reserve(
+            std::min(options.read_buffer_bytes, max_buffered_bytes));
+    }
     const bool overridden = request_options.connect_timeout > duration::zero();
     conn->stream.expires_after(
         overridden ? request_options.connect_timeout : options.connect_timeout);
@@ -285,7 +289,7 @@
     std::shared_ptr<connection> conn;
     std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
     response header;
-    std::array<char, read_buffer_bytes> read_buffer{};
+    std::vector<char> read_buffer;
     bool is_head_request = false;
     body_framing framing = body_framing::length;
 
@@ -533,6 +537,7 @@
     auto opened = std::make_unique<response_stream::state>();
     opened->pool_owner = state_;
     opened->server = server;
+    opened->read_buffer.resize(state_->options.read_buffer_bytes);
     opened->conn = std::move(connected).value();
     opened->is_head_request = message.method == "HEAD";
     const auto conn = opened->conn;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -18,6 +18,9 @@
 
 namespace asio = boost::asio;
 
+/// Read buffer for streams and other short parts.
+inline constexpr std::size_t small_read_buffer_bytes = std::size_t{4} * 1024;
+
 struct client_options
 {
     duration connect_timeout = std::chrono::milliseconds(500);
@@ -30,6 +33,10 @@
     /// default.
     duration tcp_user_timeout{};
     std::size_t max_header_bytes = std::size_t{8} * 1024;
+    /// Longest part of a body that is read at once. Each part waits for its
+    /// turn in the io_context, which is long if the process is short of
+    /// processor time.
+    std::size_t read_buffer_bytes = small_read_buffer_bytes;
     /// A longer body, or a header that announces one, fails the request.
     std::size_t max_body_bytes = std::size_t{16} * 1024 * 1024;
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -227,6 +227,28 @@
     conn_.stream.close();
 }
 
+namespace
+{
+
+/// Returns whether the peer has not closed its side of the connection, as far
+/// as the kernel knows.
+bool is_open_by_peer(tcp::socket& socket)
+{
+    char byte = 0;
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    const auto size = socket.receive(
+        asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return size > 0 || error == asio::error::would_block;
+}
+
+} // namespace
+
+bool exchange::is_caller_connected()
+{
+    return conn_.receive_shut_down || is_open_by_peer(conn_.stream.socket());
+}
+
 void exchange::on_caller_disconnect(std::function<void()> callback)
 {
     disconnect_callback_ =
@@ -241,14 +263,7 @@
             {
                 return;
             }
-            char byte = 0;
-            boost::system::error_code peek_error;
-            socket.non_blocking(true, peek_error);
-            const auto size = socket.receive(
-                asio::buffer(&byte, 1), tcp::socket::message_peek, peek_error);
-            const bool connected =
-                size > 0 || peek_error == asio::error::would_block;
-            if (!connected && *shared_callback)
+            if (!is_open_by_peer(socket) && *shared_callback)
             {
                 const auto run = std::move(*shared_callback);
                 *shared_callback = nullptr;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -58,6 +58,10 @@
     /// response for a complete one.
     void abort() noexcept;
 
+    /// Returns whether the caller has not closed its side of the connection.
+    /// Unlike the callback below, this does not wait for a turn in the
+    /// io_context, and so also shows what has happened since the last one.
+    [[nodiscard]] bool is_caller_connected();
     /// Registers a callback that runs at most once, when the caller closes its
     /// side of the connection before the handler ends.
     void on_caller_disconnect(std::function<void()> callback);
--- a/src/http/test/client_test.cpp
+++ b/src/http/test/client_test.cpp
@@ -292,5 +292,42 @@
     EXPECT_FALSE(write_started);
 }
 
+// A process that is short of processor time gets few turns in its io_context.
+TEST_F(client_fixture, large_body_is_read_in_few_turns)
+{
+    constexpr std::size_t body_bytes = std::size_t{256} * 1024;
+    constexpr std::size_t buffer_bytes = std::size_t{64} * 1024;
+    serve(
+        {"HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: " +
+         std::to_string(body_bytes) + "\r\n\r\n" +
+         std::string(body_bytes, 'x')});
+    std::size_t parts = 0;
+    std::size_t received = 0;
+    asio::co_spawn(
+        context_,
+        [&]() -> asio::awaitable<void>
+        {
+            client reader(
+                context_.get_executor(), {.read_buffer_bytes = buffer_bytes});
+            auto opened = co_await reader.open(
+                server_address(), make_request("a"), seconds(5));
+            asio::steady_timer arrival(context_, std::chrono::milliseconds(50));
+            co_await arrival.async_wait(asio::use_awaitable);
+            for (bool ended = !opened; !ended;)
+            {
+                const auto part = co_await opened.value().read(seconds(5));
+                ended = !part || part.value().empty();
+                received += ended ? 0 : part.value().size();
+                parts += ended ? 0U : 1U;
+            }
+            context_.stop();
+        },
+        asio::detached);
+    context_.run_for(seconds(10));
+    EXPECT_EQ(received, body_bytes);
+    // The first part only fills the rest of the buffer that held the header.
+    EXPECT_LE(parts, 2 * body_bytes / buffer_bytes + 1);
+}
+
 } // namespace
 } // namespace wagtailseam::http
