--- a/src/serving/test/memory_bound_pool_test.cpp
+++ b/src/serving/test/memory_bound_pool_test.cpp
@@ -145,106 +145,146 @@
     double burst = 1;
 };
 
-/// Returns the share of the requests after the disturbance that got their first
-/// token within the latency target.
-double share_in_time(const pool_scenario& scenario)
+class simulated_pool
 {
-    constexpr std::size_t engine_count = 18;
-    constexpr double arrivals_per_second = 68;
-    constexpr duration report_interval = milliseconds(100);
-    constexpr duration report_age = milliseconds(200);
-    const mono_time start{seconds(100)};
-    const mono_time disturbed = start + seconds(9);
-    const mono_time measured_from = start + seconds(16);
-    const mono_time end = start + seconds(34);
-
-    load_balancer balancer;
-    random_source random(11);
-    std::vector<simulated_engine> engines(engine_count);
-    const auto id = [](std::size_t index)
-    { return upstream_id{std::to_string(index)}; };
-    const auto list = [&](std::size_t index, bool draining)
+public:
+    explicit simulated_pool(const pool_scenario& scenario) : scenario_(scenario)
     {
-        balancer.upsert(
-            {.id = id(index),
-             .service = service,
-             .address = http::address{"10.0.0." + std::to_string(index)},
-             .draining = draining});
-    };
-    for (std::size_t index = 0; index < engine_count; ++index)
+        for (std::size_t index = 0; index < engine_count; ++index)
+        {
+            list(index, false);
+        }
+    }
+
+    /// Returns the share of the requests after the disturbance that got their
+    /// first token within the latency target.
+    double share_in_time()
     {
-        list(index, false);
+        for (; now_ < end; now_ += tick)
+        {
+            for (std::size_t lost = 0;
+                 now_ == disturbed && lost < scenario_.lost_engines; ++lost)
+            {
+                list(lost * 4, true);
+            }
+            send_arrivals();
+            run_engines();
+            deliver_reports();
+        }
+        return static_cast<double>(in_time_) / arrived_;
     }
+
+private:
+    static constexpr std::size_t engine_count = 18;
+    static constexpr double arrivals_per_second = 68;
+    static constexpr duration report_interval = milliseconds(100);
+    static constexpr duration report_age = milliseconds(200);
+    static constexpr mono_time start{seconds(100)};
+    static constexpr mono_time disturbed = start + seconds(9);
+    static constexpr mono_time measured_from = start + seconds(16);
+    static constexpr mono_time end = start + seconds(34);
+
     struct report
     {
         mono_time due;
         std::size_t engine = 0;
         engine_load load;
     };
-    std::deque<report> reports;
-    int arrived = 0;
-    int in_time = 0;
-    double due_arrivals = 0;
-    for (mono_time now = start; now < end; now += tick)
+
+    [[nodiscard]] static upstream_id id(std::size_t index)
+    {
+        return upstream_id{std::to_string(index)};
+    }
+
+    void list(std::size_t index, bool draining)
+    {
+        balancer_.upsert(
+            {.id = id(index),
+             .service = service,
+             .address = http::address{"10.0.0." + std::to_string(index)},
+             .draining = draining});
+    }
+
+    void send_arrivals()
     {
-        if (now == disturbed)
+        const bool in_burst =
+            now_ >= disturbed && now_ < disturbed + seconds(4);
+        due_arrivals_ += arrivals_per_second *
+                         std::chrono::duration<double>(tick).count() *
+                         (in_burst ? scenario_.burst : 1.0) *
+                         static_cast<double>(random_.below(2001)) / 1000.0;
+        for (; due_arrivals_ >= 1; --due_arrivals_)
         {
-            for (std::size_t lost = 0; lost < scenario.lost_engines; ++lost)
-            {
-                list(lost * 4, true);
-            }
+            arrived_ += now_ >= measured_from ? 1 : 0;
+            send_request();
         }
-        const bool in_burst = now >= disturbed && now < disturbed + seconds(4);
-        due_arrivals += arrivals_per_second *
-                        std::chrono::duration<double>(tick).count() *
-                        (in_burst ? scenario.burst : 1.0) *
-                        static_cast<double>(random.below(2001)) / 1000.0;
-        for (; due_arrivals >= 1; --due_arrivals)
+    }
+
+    void send_request()
+    {
+        const auto selection = balancer_.choose(
+            {.service = service,
+             .max_wait = latency_target,
+             .tokens = token_count{static_cast<std::uint64_t>(
+                 prompt_tokens + output_tokens)}},
+            random_, now_);
+        const auto* const chosen = std::get_if<chosen_upstream>(&selection);
+        if (chosen == nullptr)
         {
-            arrived += now >= measured_from ? 1 : 0;
-            const auto selection = balancer.choose(
-                {.service = service,
-                 .max_wait = latency_target,
-                 .tokens = token_count{static_cast<std::uint64_t>(
-                     prompt_tokens + output_tokens)}},
-                random, now);
-            if (const auto* const chosen =
-                    std::get_if<chosen_upstream>(&selection))
-            {
-                const prompt_load load{
-                    .tokens =
-                        token_count{static_cast<std::uint64_t>(prompt_tokens)}};
-                balancer.begin_attempt(chosen->entry.id, load);
-                balancer.finish_prefill(chosen->entry.id, load, now);
-                engines[std::stoul(chosen->entry.id.value())].add(
-                    {.arrived = now});
-            }
+            return;
         }
+        const prompt_load load{
+            .tokens = token_count{static_cast<std::uint64_t>(prompt_tokens)}};
+        balancer_.begin_attempt(chosen->entry.id, load);
+        balancer_.finish_prefill(chosen->entry.id, load, now_);
+        engines_[std::stoul(chosen->entry.id.value())].add({.arrived = now_});
+    }
+
+    void run_engines()
+    {
         const bool reports_now =
-            (now - start).count() % report_interval.count() == 0;
+            (now_ - start).count() % report_interval.count() == 0;
         for (std::size_t index = 0; index < engine_count; ++index)
         {
-            for (const auto& began : engines[index].run_tick())
+            for (const auto& arrived : engines_[index].run_tick())
             {
-                in_time +=
-                    began >= measured_from && now - began <= latency_target ? 1
-                                                                            : 0;
+                const bool is_in_time = arrived >= measured_from &&
+                                        now_ - arrived <= latency_target;
+                in_time_ += is_in_time ? 1 : 0;
             }
             if (reports_now)
             {
-                reports.push_back(
-                    {now + report_age, index,
-                     engines[index].load(scenario.reports_memory)});
+                reports_.push_back(
+                    {now_ + report_age, index,
+                     engines_[index].load(scenario_.reports_memory)});
             }
         }
-        for (; !reports.empty() && reports.front().due <= now;
-             reports.pop_front())
+    }
+
+    void deliver_reports()
+    {
+        for (; !reports_.empty() && reports_.front().due <= now_;
+             reports_.pop_front())
         {
-            balancer.update_load(
-                id(reports.front().engine), reports.front().load, now);
+            balancer_.update_load(
+                id(reports_.front().engine), reports_.front().load, now_);
         }
     }
-    return static_cast<double>(in_time) / arrived;
+
+    pool_scenario scenario_;
+    load_balancer balancer_;
+    random_source random_{11};
+    std::vector<simulated_engine> engines_{engine_count};
+    std::deque<report> reports_;
+    mono_time now_ = start;
+    double due_arrivals_ = 0;
+    int arrived_ = 0;
+    int in_time_ = 0;
+};
+
+double share_in_time(const pool_scenario& scenario)
+{
+    return simulated_pool(scenario).share_in_time();
 }
 
 TEST(memory_bound_pool, calm_load_is_served_in_time)
--- a/src/upstream_statement/test/statement_record_test.cpp
+++ b/src/upstream_statement/test/statement_record_test.cpp
@@ -174,6 +174,26 @@
     mono_time paused_until;
 };
 
+/// Checks the restrictions of the newest processes; their predecessors get no
+/// requests anyway.
+void check_newest(
+    const statement_record& record,
+    const std::map<upstream_process, expected_statement>& expected,
+    const std::map<upstream_id, std::uint64_t>& newest, mono_time now)
+{
+    const auto restricted =
+        record.restricted(now, wall_time(now.time_since_epoch()));
+    for (const auto& [known, statement] : expected)
+    {
+        if (known.started_ms == newest.at(known.id))
+        {
+            RC_ASSERT(
+                restricted.contains(known) ==
+                (statement.leaving || now < statement.paused_until));
+        }
+    }
+}
+
 // Responses of processes that replace each other, in any order, with time and
 // unlisted processes between them.
 void check_restrictions(
@@ -228,18 +248,7 @@
             }
             break;
         }
-        const auto restricted =
-            record.restricted(now, wall_time(now.time_since_epoch()));
-        for (const auto& [known, statement] : expected)
-        {
-            // Predecessors get no requests anyway.
-            if (known.started_ms == newest[known.id])
-            {
-                RC_ASSERT(
-                    restricted.contains(known) ==
-                    (statement.leaving || now < statement.paused_until));
-            }
-        }
+        check_newest(record, expected, newest, now);
     }
 }
 
