End an event of a stream at 64 KiB

Cause: 50 buffers of up to twice 256 KiB, more of them full together since the read buffer is allocated apart from its connection. Events are a few tokens; 64 KiB bounds the sum below what is allowed.

--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -15,8 +15,9 @@
 /// attempt of a stream. Callers disconnect at eight times the agreed gap.
 constexpr int event_gap_timeout_factor = 4;
 /// An event of a stream that is not complete after this number of bytes ends
-/// the attempt. Events contain a few tokens.
-constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
+/// the attempt. Events contain a few tokens. The buffer of an event may be
+/// twice as large, and many upstreams may send such events at once.
+constexpr std::size_t max_event_bytes = std::size_t{64} * 1024;
 constexpr unsigned status_redirection = 300;
 constexpr duration min_retry_after = std::chrono::milliseconds(100);
 /// Callers respect a Retry-After of at most their remaining time divided by
