Keep the deadline of each announced weight version in gateways

Callers' requests began on weights that had been replaced longer ago than agreed (10,021 ms and 10,189 ms after the announcement, 10,000 ms allowed).

Cause: a gateway kept the newest announced version of a model and the time at which it received that. A further announcement within the deadline therefore extended the deadline of the versions before it by as much.

A request requires the newest version whose own time has passed. The query takes that minimum in place of a flag for the wanted version, so that an engine between two announced versions stays usable until its own deadline; the test of the flag now tests the minimum and is as strict.

--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -87,28 +87,23 @@
     return request.route->latency_target * (factor + (is_repeated ? 1 : 0));
 }
 
-/// Returns the weight version that the operator requested for a model, or null.
-const received_weight_target* find_weight_target(
-    const shared_state& state, const model_id& model)
-{
-    const auto found = state.weight_targets.find(model);
-    return found == state.weight_targets.end() ? nullptr : &found->second;
-}
-
 /// Returns whether the cached parts of a weight version are certain not to have
 /// been freed.
 bool can_fetch_cached_parts(
-    const shared_state& state, const received_weight_target* weight_target,
-    weight_version weights, mono_time now)
+    const shared_state& state, const model_id& model, weight_version weights,
+    mono_time now)
 {
     if (now - state.operator_table_read_at >= serving::max_operator_table_age)
     {
         return false;
     }
-    return weight_target == nullptr || weights == weight_target->version ||
-           (!weight_target->received_at_startup &&
-            now - weight_target->received_at <
-                serving::old_version_fetch_period);
+    const auto found = state.weight_announcements.find(model);
+    const auto* const newest = found == state.weight_announcements.end()
+                                   ? nullptr
+                                   : found->second.newest();
+    return newest == nullptr || weights == newest->version ||
+           (!newest->at_startup &&
+            now - newest->received_at < serving::old_version_fetch_period);
 }
 
 serving::cache_plan plan_cache(
@@ -130,8 +125,7 @@
     auto salt = serving::make_cache_salt(
         prompt.model, *weights,
         request.workspace != nullptr ? *request.workspace : shared_workspace);
-    const auto* const weight_target = find_weight_target(state, prompt.model);
-    if (!can_fetch_cached_parts(state, weight_target, *weights, now))
+    if (!can_fetch_cached_parts(state, prompt.model, *weights, now))
     {
         return {
             .salt = std::move(salt), .prefill_tokens = total_tokens(prompt)};
@@ -183,17 +177,16 @@
     }
     const auto& model = request.call.prompt->model;
     query.model = model;
-    if (const auto* const weight_target = find_weight_target(state, model))
+    const auto announced = state.weight_announcements.find(model);
+    if (announced != state.weight_announcements.end())
     {
-        const duration age =
-            monotonic_clock::now() - weight_target->received_at;
-        query.wanted_version = weight_target->version;
-        query.require_wanted_version =
-            age > state.settings.bounds.weight_rollout_deadline -
-                      weight_rollout_margin ||
-            (weight_target->received_at_startup &&
-             age >
-                 state.settings.bounds.resync_deadline - startup_resync_margin);
+        query.wanted_version =
+            state.newest_weights(model).value_or(weight_version{});
+        query.min_version = announced->second.newest_older_than(
+            state.settings.bounds.weight_rollout_deadline -
+                weight_rollout_margin,
+            state.settings.bounds.resync_deadline - startup_resync_margin,
+            monotonic_clock::now());
     }
     return query;
 }
@@ -216,11 +209,8 @@
                 ? request.workspace->priority.value_or(request.route->priority)
                 : request.route->priority;
         metadata.urgency = std::min(priority, max_urgency);
-        if (const auto* const weight_target =
-                find_weight_target(state, request.call.prompt->model))
-        {
-            planned.summary.target_weights = weight_target->version;
-        }
+        planned.summary.target_weights =
+            state.newest_weights(request.call.prompt->model);
         planned.summary.weights = target.running_version
                                       ? target.running_version
                                       : planned.summary.target_weights;
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -72,10 +72,9 @@
     }
     const auto& model = request_.call.prompt->model;
     auto running_version = response.weights;
-    const auto weight_target = state_.weight_targets.find(model);
-    if (!running_version && weight_target != state_.weight_targets.end())
+    if (!running_version)
     {
-        running_version = weight_target->second.version;
+        running_version = state_.newest_weights(model);
     }
     return serving::weights_differ{.model = model, .running = running_version};
 }
--- a/src/gateway/shared_state.cpp
+++ b/src/gateway/shared_state.cpp
@@ -28,6 +28,17 @@
 {
 }
 
+std::optional<weight_version> shared_state::newest_weights(
+    const model_id& model) const
+{
+    const auto found = weight_announcements.find(model);
+    if (found == weight_announcements.end())
+    {
+        return std::nullopt;
+    }
+    return found->second.newest()->version;
+}
+
 retry::retry_budget& shared_state::retry_budget_for(
     const serving::service_id& service)
 {
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -11,6 +11,7 @@
 #include "serving/cache_view.hpp"
 #include "serving/load_balancer.hpp"
 #include "serving/route_table.hpp"
+#include "serving/weight_announcements.hpp"
 #include "telemetry/log_rate_limiter.hpp"
 #include "telemetry/metrics.hpp"
 
@@ -26,16 +27,6 @@
 namespace wagtailseam::gateway
 {
 
-/// Weight version that the operator requested for a model.
-struct received_weight_target
-{
-    weight_version version;
-    /// When this process first read the version.
-    mono_time received_at;
-    /// Received at the start of this process, so that its age is unknown.
-    bool received_at_startup = false;
-};
-
 /// Well above the usual request rate of a gateway and far below that of a
 /// burst.
 inline constexpr std::uint32_t max_success_lines_per_second = 20;
@@ -48,7 +39,8 @@
     /// Null before the first configuration. The configuration number never
     /// decreases.
     std::shared_ptr<const serving::route_table> routes;
-    std::map<model_id, received_weight_target> weight_targets;
+    /// Weight versions that the operator announced, by model.
+    std::map<model_id, serving::weight_announcements> weight_announcements;
     serving::load_balancer upstreams;
     /// Called when this gateway's pending prefill at an upstream changes.
     std::function<void(const upstream_id&)> on_pending_prefill_changed =
@@ -75,6 +67,9 @@
         max_success_lines_per_second};
     random_source random;
 
+    /// Returns the newest announced weight version of a model, if any.
+    [[nodiscard]] std::optional<weight_version> newest_weights(
+        const model_id& model) const;
     /// Returns the retry budget of a service, and creates it if necessary.
     [[nodiscard]] retry::retry_budget& retry_budget_for(
         const serving::service_id& service);
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -321,18 +321,14 @@
 
 void state_updater::apply_weight_target(const serving::weight_target& received)
 {
-    const auto current = state_.weight_targets.find(received.model);
-    if (current != state_.weight_targets.end() &&
-        current->second.version >= received.version)
+    const bool is_new = state_.weight_announcements[received.model].add(
+        {.version = received.version,
+         .received_at = monotonic_clock::now(),
+         .at_startup = awaiting_first_operator_read_});
+    if (!is_new)
     {
         return;
     }
-    state_.weight_targets.insert_or_assign(
-        received.model,
-        received_weight_target{
-            .version = received.version,
-            .received_at = monotonic_clock::now(),
-            .received_at_startup = awaiting_first_operator_read_});
     telemetry::event("weights_named")
         .with("model", received.model)
         .with("version", received.version);
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -313,12 +313,12 @@
     {
         return false;
     }
-    if (!query.require_wanted_version || !query.model)
+    if (!query.min_version || !query.model)
     {
         return true;
     }
     const auto version = version_of_model(state.entry, *query.model);
-    return !version || *version >= query.wanted_version;
+    return !version || *version >= *query.min_version;
 }
 
 load_balancer::candidate_list load_balancer::list_candidates(
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -136,8 +136,8 @@
     /// preferred.
     std::optional<model_id> model;
     weight_version wanted_version;
-    /// Excludes upstreams with older weights than the wanted version.
-    bool require_wanted_version = false;
+    /// Excludes upstreams with older weights than this.
+    std::optional<weight_version> min_version;
     /// Excludes engines that start on the request later than this. Unset: no
     /// limit.
     std::optional<duration> max_wait;
--- a/src/serving/test/load_balancer_test.cpp
+++ b/src/serving/test/load_balancer_test.cpp
@@ -367,16 +367,14 @@
     EXPECT_GT(most->second, 140);
 }
 
-TEST_F(
-    load_balancer_fixture,
-    older_weights_are_excluded_if_wanted_version_is_required)
+TEST_F(load_balancer_fixture, older_weights_than_the_minimum_are_excluded)
 {
     list("a");
     auto query = make_query();
     query.model = model;
     query.wanted_version = weight_version{2};
     EXPECT_EQ(chosen_id(query), "a");
-    query.require_wanted_version = true;
+    query.min_version = weight_version{2};
     EXPECT_EQ(chosen_id(query), "none");
     run_attempt("a", weights_differ{model, weight_version{2}});
     EXPECT_EQ(chosen_id(query), "a");
