Keep the turn of an engine when further weights are announced

Engines ran weights whose replacement had been announced longer ago than agreed, and gateways then had nowhere to send requests.

An agent replaced its target with each announcement, and the latest start of its load was computed from the newest one, so engines with a high rank started over.

Evidence: later_target_does_not_delay_engine_that_runs_weights_before_the_first failed (no order 6 s after the first announcement, 4 s after the second one) and passes now.

The latest start is computed from the oldest announcement that is newer than what the engine runs; the order still names the newest version.

--- a/src/agent/test/weight_load_scheduler_test.cpp
+++ b/src/agent/test/weight_load_scheduler_test.cpp
@@ -133,6 +133,31 @@
     EXPECT_EQ(order->version, weight_version{3});
 }
 
+// Guards against an engine whose turn starts anew with each announcement, so
+// that it keeps replaced weights beyond their deadline.
+TEST_F(
+    weight_load_scheduler_fixture,
+    later_target_does_not_delay_engine_that_runs_weights_before_the_first)
+{
+    auto scheduler = make_scheduler(8, 9);
+    scheduler.set_target({model, weight_version{3}}, now_ + seconds(4));
+    EXPECT_FALSE(scheduler.next_order(engine_running(1), now_ + seconds(4)));
+    const auto order =
+        scheduler.next_order(engine_running(1), now_ + seconds(6));
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->version, weight_version{3});
+}
+
+TEST_F(
+    weight_load_scheduler_fixture,
+    engine_with_weights_between_two_targets_waits_for_its_turn)
+{
+    auto scheduler = make_scheduler(8, 9);
+    scheduler.set_target({model, weight_version{3}}, now_ + seconds(4));
+    EXPECT_FALSE(scheduler.next_order(engine_running(2), now_ + seconds(6)));
+    EXPECT_TRUE(scheduler.next_order(engine_running(2), now_ + seconds(10)));
+}
+
 TEST_F(weight_load_scheduler_fixture, older_target_is_ignored)
 {
     auto scheduler = make_scheduler(0, 1);
--- a/src/agent/weight_load_scheduler.cpp
+++ b/src/agent/weight_load_scheduler.cpp
@@ -19,18 +19,16 @@
 bool weight_load_scheduler::set_target(
     const serving::weight_target& target, mono_time now, bool at_start)
 {
-    const auto known = targets_.find(target.model);
-    if (known != targets_.end() && known->second.version >= target.version)
+    auto& state = targets_[target.model];
+    const bool is_new = state.announcements.add(
+        {.version = target.version,
+         .received_at = at_start ? now - options_.rollout_deadline / 2 : now,
+         .at_startup = at_start});
+    if (is_new)
     {
-        return false;
+        state.ordered_at.reset();
     }
-    targets_.insert_or_assign(
-        target.model,
-        target_state{
-            .version = target.version,
-            .announced_at =
-                at_start ? now - options_.rollout_deadline / 2 : now});
-    return true;
+    return is_new;
 }
 
 void weight_load_scheduler::set_engines(
@@ -83,9 +81,11 @@
 }
 
 bool weight_load_scheduler::may_start(
-    const model_id& model, const target_state& target, mono_time now) const
+    const model_id& model, const target_state& target, weight_version running,
+    mono_time now) const
 {
-    if (now >= latest_start(target.announced_at))
+    const auto* const due = target.announcements.oldest_newer_than(running);
+    if (due != nullptr && now >= latest_start(due->received_at))
     {
         return true;
     }
@@ -96,7 +96,7 @@
         const auto reported = reported_weights_.find(engines_[rank]);
         const bool done = reported != reported_weights_.end() &&
                           reported->second.contains(model) &&
-                          reported->second.at(model) >= target.version;
+                          reported->second.at(model) >= target.version();
         unfinished += done ? 0 : 1;
     }
     return unfinished < max_concurrent_loads();
@@ -110,7 +110,7 @@
         {
             const auto current = engine.weights.find(entry.first);
             return current != engine.weights.end() &&
-                   current->second < entry.second.version;
+                   current->second < entry.second.version();
         });
 }
 
@@ -125,7 +125,8 @@
     {
         const auto current = engine.weights.find(model);
         if (current == engine.weights.end() ||
-            current->second >= target.version || !may_start(model, target, now))
+            current->second >= target.version() ||
+            !may_start(model, target, current->second, now))
         {
             continue;
         }
@@ -137,7 +138,7 @@
         target.ordered_at = now;
         return due_order{
             .model = model,
-            .version = target.version,
+            .version = target.version(),
             .expected_orders = engine.accepted_orders};
     }
     return std::nullopt;
--- a/src/agent/weight_load_scheduler.hpp
+++ b/src/agent/weight_load_scheduler.hpp
@@ -8,6 +8,7 @@
 #include "serving/configuration.hpp"
 #include "serving/ids.hpp"
 #include "serving/upstream.hpp"
+#include "serving/weight_announcements.hpp"
 
 #include <cstdint>
 #include <map>
@@ -96,14 +97,21 @@
 private:
     struct target_state
     {
-        weight_version version;
-        mono_time announced_at;
-        /// When the last order for this version was sent.
+        /// @invariant not empty
+        serving::weight_announcements announcements;
+        /// When the last order for the newest version was sent.
         std::optional<mono_time> ordered_at;
+
+        [[nodiscard]] weight_version version() const
+        {
+            return announcements.newest()->version;
+        }
     };
 
+    /// @param running an older version than the target
     [[nodiscard]] bool may_start(
-        const model_id& model, const target_state& target, mono_time now) const;
+        const model_id& model, const target_state& target,
+        weight_version running, mono_time now) const;
 
     weight_load_options options_;
     std::map<model_id, target_state> targets_;
