Count the fetch period of replaced parts from their own replacement

A gateway that received two announcements within some seconds went on fetching cached parts of the version before both until 4 s after the second one. Agents free these parts 12.5 s after the first, so a fetch could read a part that was freed meanwhile.

Evidence: later_announcement_does_not_extend_fetches_of_parts_replaced_before failed with the time of the newest announcement and passes with the time of the oldest one that is newer than the part's version.

--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -87,8 +87,8 @@
     return request.route->latency_target * (factor + (is_repeated ? 1 : 0));
 }
 
-/// Returns whether the cached parts of a weight version are certain not to have
-/// been freed.
+} // namespace
+
 bool can_fetch_cached_parts(
     const shared_state& state, const model_id& model, weight_version weights,
     mono_time now)
@@ -98,14 +98,18 @@
         return false;
     }
     const auto found = state.weight_announcements.find(model);
-    const auto* const newest = found == state.weight_announcements.end()
-                                   ? nullptr
-                                   : found->second.newest();
-    return newest == nullptr || weights == newest->version ||
-           (!newest->at_startup &&
-            now - newest->received_at < serving::old_version_fetch_period);
+    const auto* const successor =
+        found == state.weight_announcements.end()
+            ? nullptr
+            : found->second.oldest_newer_than(weights);
+    return successor == nullptr ||
+           (!successor->at_startup &&
+            now - successor->received_at < serving::old_version_fetch_period);
 }
 
+namespace
+{
+
 serving::cache_plan plan_cache(
     shared_state& state, const accepted_request& request,
     const serving::chosen_upstream& target,
--- a/src/gateway/dispatch_plan.hpp
+++ b/src/gateway/dispatch_plan.hpp
@@ -70,6 +70,12 @@
     std::optional<http::address> main_cache_source;
 };
 
+/// Returns whether the cached parts of a weight version are certain not to have
+/// been freed in the cache stores.
+[[nodiscard]] bool can_fetch_cached_parts(
+    const shared_state& state, const model_id& model, weight_version weights,
+    mono_time now);
+
 /// Plans the message to an upstream.
 /// @param resume_after id of the last event that the caller received; empty if
 /// there is none
