Decode the software version of upstreams and the request that a caller resumes

The logs could not tell whether streams that hold events of two software versions were continued by a gateway or resumed by their callers. The line of a request now has the software version of its last upstream, and, if it resumes a stream, the request that brought the first event and the last event. Nothing is decided differently.

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -499,6 +499,7 @@
 {
     tried_upstreams_.insert(target.entry.id);
     record_.last_upstream = target.entry.id;
+    record_.last_software = target.entry.software;
     auto planned = plan_dispatch(
         state_, request_, target,
         event_splitter_.last_id().empty() ? request_.call.last_event_id
--- a/src/gateway/request_record.cpp
+++ b/src/gateway/request_record.cpp
@@ -32,6 +32,9 @@
         .with(
             "upstream",
             record.last_upstream ? record.last_upstream->value() : "none")
+        .with(
+            "software",
+            record.last_upstream ? record.last_software.value() : "none")
         .with("expected_wait_us", record.expected_wait.count())
         .with("weights", version_string(record.dispatch.weights))
         .with("weights_named", version_string(record.dispatch.target_weights))
@@ -46,6 +49,11 @@
                                  ? request.routes->config().number.value()
                                  : std::uint64_t{0})
         .with("lines_left_out", omitted_lines);
+    if (!request.call.last_event_id.empty())
+    {
+        line.with("resumes", request.call.resumed_request)
+            .with("last_event", request.call.last_event_id);
+    }
     if (record.code == result_code::quarantined && record.quarantine)
     {
         line.with("content", short_name(request.content().request))
--- a/src/gateway/request_record.hpp
+++ b/src/gateway/request_record.hpp
@@ -26,6 +26,8 @@
     /// Name of the result of the last attempt.
     std::string last_result = "none";
     std::optional<upstream_id> last_upstream;
+    /// Software version of the last upstream.
+    serving::software_version last_software;
     std::optional<duration> first_byte;
     /// Framing of the last upstream's response; unset before its header.
     std::optional<http::body_framing> framing;
--- a/src/serving/call.hpp
+++ b/src/serving/call.hpp
@@ -56,6 +56,9 @@
     std::optional<prompt_metadata> prompt;
     /// Id of the last event that the caller received in an earlier answer.
     std::string last_event_id;
+    /// The request that brought the stream's first event, if the caller takes
+    /// a stream up again; otherwise empty.
+    request_id resumed_request;
     /// The whole message without hop-by-hop headers and without those that only
     /// this system sets.
     http::request message;
--- a/src/serving/ids.hpp
+++ b/src/serving/ids.hpp
@@ -9,6 +9,8 @@
 
 /// A pool of interchangeable upstreams.
 using service_id = strong_id<struct service_tag>;
+/// Version of an upstream's software. Versions have no order.
+using software_version = strong_id<struct software_version_tag>;
 /// A part of a prompt. Prompts that begin with the same parts share their ids.
 using part_id = strong_id<struct part_tag>;
 /// Namespace of cached parts: an upstream finds a part only with the salt with
--- a/src/serving/upstream.hpp
+++ b/src/serving/upstream.hpp
@@ -19,6 +19,8 @@
     service_id service;
     http::address address;
     data_centre_id data_centre;
+    /// What two versions write into one stream does not fit together.
+    software_version software;
     /// Number of requests that it runs concurrently.
     std::uint32_t slots = 1;
     /// Whether it accepts no new requests.
