Continue a stream within a response only at its software version

Callers got streams whose events came from two software versions of a service: when an upstream broke off, the gateway sent the rest of the request to any other upstream. What two versions write does not fit together, and an upstream does not check it.

The handler now notes the service and software version of the upstream that sent the first event that it forwards. Further attempts exclude upstreams of other versions; if none is left, the response is broken off, as it is for other streams that cannot continue. An attempt that forwarded no event restricts nothing.

With the restriction taken out of choose_upstream, two of the three new tests fail: stream_version_fixture.broken_stream_continues_at_the_same_version (the upstream of the other version got the request) and broken_stream_of_a_gone_version_is_broken_off (status 200 instead of a broken connection). With it, the three and the rest of the suites of served requests (35 tests) and test_broken_responses (749) pass.

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -217,6 +217,10 @@
     auto query = make_upstream_query(
         state_, request_, tried_upstreams_, record_.executions == 0);
     query.restricted = state_.statements.restricted();
+    if (stream_origin_)
+    {
+        query.software = stream_origin_->version;
+    }
     auto selection =
         state_.upstreams.choose(query, state_.random, monotonic_clock::now());
     if (auto* const chosen = std::get_if<serving::chosen_upstream>(&selection))
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -9,6 +9,7 @@
 #include "platform/request_codec.hpp"
 #include "serving/call.hpp"
 #include "serving/event_splitter.hpp"
+#include "stream_origin/stream_origin.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -53,7 +54,8 @@
         const serving::chosen_upstream& target,
         const platform::upstream_response& response) const;
     asio::awaitable<void> begin_response(const http::response& upstream_head);
-    asio::awaitable<void> forward_chunk(std::string_view chunk);
+    asio::awaitable<void> forward_chunk(
+        const serving::chosen_upstream& target, std::string_view chunk);
     /// What a body is that ended as its framing demands.
     enum class body_end : std::uint8_t
     {
@@ -75,6 +77,8 @@
     /// Returns whether another upstream can continue the response. The gateway
     /// forwards only complete events of a stream.
     [[nodiscard]] bool is_resumable_stream() const;
+    /// Notes where the stream began, before its first event is forwarded.
+    void record_stream_begin(const serving::chosen_upstream& target);
     asio::awaitable<next_step> forward_response(
         const serving::chosen_upstream& target, http::response_stream& stream);
     /// Returns nullopt and sets the result code if there is none.
@@ -154,6 +158,9 @@
         duration expected_wait{};
         std::optional<http::address> main_cache_source;
     };
+    /// What began the stream. Only upstreams of this service and version may
+    /// continue it. Unset before the first event.
+    std::optional<stream_origin::origin> stream_origin_;
     /// Set from the dispatch of an attempt until its response begins.
     std::optional<pending_prompt> pending_prompt_;
     /// Whether the upstream's response is a stream of server-sent events.
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -145,13 +145,8 @@
     caller_disconnected_ = caller_disconnected_ || !begun;
 }
 
-bool request_handler::is_resumable_stream() const
-{
-    return request_.route->kind == serving::route_kind::streaming &&
-           request_.route->resumable && is_event_stream_;
-}
-
-asio::awaitable<void> request_handler::forward_chunk(std::string_view chunk)
+asio::awaitable<void> request_handler::forward_chunk(
+    const serving::chosen_upstream& target, std::string_view chunk)
 {
     std::string complete_events;
     if (is_event_stream_)
@@ -159,6 +154,10 @@
         complete_events = event_splitter_.feed(chunk);
         record_.incomplete_event_bytes = event_splitter_.partial().size();
         chunk = complete_events;
+        if (!chunk.empty())
+        {
+            record_stream_begin(target);
+        }
     }
     forwarded_body_bytes_ += chunk.size();
     const auto written = co_await exchange_.write(chunk);
@@ -303,7 +302,7 @@
             co_await end_response(target, end);
             co_return next_step::finished;
         }
-        co_await forward_chunk(chunk.value());
+        co_await forward_chunk(target, chunk.value());
     }
     stream.close();
     end_attempt(target, serving::abandoned{});
--- a/src/serving/configuration.hpp
+++ b/src/serving/configuration.hpp
@@ -55,12 +55,15 @@
     /// Whether another upstream may resume a broken stream.
     bool resumable = false;
 
+    [[nodiscard]] bool is_resumable_stream() const noexcept
+    {
+        return kind == route_kind::streaming && resumable;
+    }
     /// Returns whether a request that an upstream may have run can be sent
     /// again.
     [[nodiscard]] bool retryable() const noexcept
     {
-        return kind == route_kind::idempotent ||
-               (kind == route_kind::streaming && resumable);
+        return kind == route_kind::idempotent || is_resumable_stream();
     }
 };
 
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -165,7 +165,9 @@
     mono_time now) const
 {
     if (state.entry.service != query.service ||
-        query.excluded.contains(state.entry.id) || !is_available(state, now))
+        query.excluded.contains(state.entry.id) ||
+        (query.software && *query.software != state.entry.software) ||
+        !is_available(state, now))
     {
         return false;
     }
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -143,6 +143,8 @@
     std::optional<duration> max_wait;
     /// Tokens for which an engine needs memory.
     token_count tokens;
+    /// Excludes upstreams of other software versions.
+    std::optional<software_version> software;
     /// Upstreams that earlier attempts of the request tried.
     std::set<upstream_id> excluded;
     /// Upstreams that, as they stated, take no requests of this gateway now.
