Add the slice of stream origins and version regimes

A caller may resume a stream at any gateway, also after all of them were killed.

Now a tracker trusts a single regime only while each list that it read since is covered by it, with gaps of at most 8 s; until the row is read again it records its streams. The quiet time counts confirmed reads only and is 45 s instead of 30 s: twice the gap, 10 s for upstreams that left the list, and 15 s for callers that resume.

--- /dev/null
+++ b/src/stream_origin/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(stream_origin DEPENDS wagtail_core)
--- /dev/null
+++ b/src/stream_origin/version_regime.hpp
@@ -0,0 +1,120 @@
+// Which software versions of a service may have begun a stream that no gateway
+// has recorded. One row per service in the row store holds it.
+#ifndef WAGTAILSEAM_STREAM_ORIGIN_VERSION_REGIME_HPP
+#define WAGTAILSEAM_STREAM_ORIGIN_VERSION_REGIME_HPP
+
+#include "core/clock.hpp"
+#include "core/result.hpp"
+#include "serving/ids.hpp"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace wagtailseam::stream_origin
+{
+
+/// The row has not been read.
+struct unknown_regime
+{
+    friend bool operator==(unknown_regime, unknown_regime) = default;
+};
+
+/// The row does not exist.
+struct absent_regime
+{
+    friend bool operator==(absent_regime, absent_regime) = default;
+};
+
+/// Streams without a record began at this version.
+struct single_version
+{
+    serving::software_version version;
+
+    friend bool operator==(const single_version&, const single_version&) =
+        default;
+};
+
+/// Streams without a record may have begun at any version.
+struct mixed_versions
+{
+    friend bool operator==(mixed_versions, mixed_versions) = default;
+};
+
+using version_regime =
+    std::variant<unknown_regime, absent_regime, single_version, mixed_versions>;
+
+/// Returns the name of the regime in logs, with the version if it is single.
+[[nodiscard]] std::string name(const version_regime& regime);
+
+/// Encodes a regime as JSON for the value of a table row.
+/// @pre regime is single_version or mixed_versions
+[[nodiscard]] std::string encode(const version_regime& regime);
+/// @errors malformed_message: contains the value
+[[nodiscard]] result<version_regime> decode_regime(std::string_view value);
+
+struct regime_tracker_options
+{
+    /// Time for which only one version must be listed before the regime becomes
+    /// single again. It exceeds the sum of twice max_list_gap, the time for
+    /// which an upstream runs after it left the list (10 s), and the time for
+    /// which callers resume a stream (15 s).
+    duration quiet_time = std::chrono::seconds(45);
+    /// Versions may have come and gone unseen between two reads of the list
+    /// that are further apart.
+    duration max_list_gap = std::chrono::seconds(8);
+};
+
+/// Decides when the regime of one service changes, and what it permits. A
+/// gateway begins a stream at another version than that of a single regime only
+/// after it has read or written that versions are mixed. Not thread-safe.
+class regime_tracker
+{
+public:
+    explicit regime_tracker(const regime_tracker_options& options = {});
+
+    /// Sets the regime as it was last read or written.
+    void set_regime(version_regime regime);
+    /// Sets the versions of the upstreams that may still run.
+    /// @param read_at when the list was last read, or reported as unchanged
+    void set_listed(
+        std::set<serving::software_version> versions, mono_time read_at);
+
+    /// Returns whether the row has to be read, because it was not, or because
+    /// it may have changed twice since. A due write reads it as well.
+    [[nodiscard]] bool needs_read() const;
+
+    /// Returns the regime that has to be written, if any.
+    [[nodiscard]] std::optional<version_regime> due_write(mono_time now) const;
+    /// Returns whether a stream that begins at a version has to be recorded.
+    [[nodiscard]] bool needs_record(
+        const serving::software_version& version) const;
+    /// Returns the version at which new streams begin while one of its
+    /// upstreams is available; nullopt: any.
+    [[nodiscard]] std::optional<serving::software_version> begins_at() const;
+    [[nodiscard]] const version_regime& regime() const noexcept
+    {
+        return regime_;
+    }
+
+private:
+    /// Returns whether the only listed version is the single one.
+    [[nodiscard]] bool is_covered(const version_regime& regime) const;
+
+    regime_tracker_options options_;
+    version_regime regime_;
+    /// Whether each list read since regime_ was set is covered by it, without
+    /// gaps. Otherwise other gateways may meanwhile have made another version
+    /// the single one.
+    bool confirmed_ = false;
+    std::set<serving::software_version> listed_;
+    /// Since when listed_ has not changed, as far as the reads show.
+    mono_time listed_since_;
+    std::optional<mono_time> list_read_at_;
+};
+
+} // namespace wagtailseam::stream_origin
+
+#endif
