Resume streams only at the service and version that began them

The gateway did not read which stream a caller resumes, and after a kill of gateways none of them had known where it began.

A gateway now keeps the origin of each resumable stream from its first event until it is complete, or 20 s after it broke off. It writes those that the version regime does not cover into its row of stream_records, at most every 250 ms and within a quarter of the agreed write rate. A resumption goes only to the service and version found among the own streams, the records of all gateways or the regime. If none of them has it, or they cannot be read within 400 ms, the caller gets 503 at once (314 stream_origin_unknown); if no upstream of that version is left, 315 software_version_gone. New streams begin at the version of a single regime while it serves, so that a stream without a record cannot have begun elsewhere.

The reads and writes of stream_origin_sync have no unit test.

--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -105,6 +105,14 @@
     result_code_row{
         result_code::upstreams_leaving, "upstreams_leaving",
         "All upstreams of the service are leaving; come back later."},
+    result_code_row{
+        result_code::stream_origin_unknown, "stream_origin_unknown",
+        "It is not known which software version began the stream; send the "
+        "request anew."},
+    result_code_row{
+        result_code::software_version_gone, "software_version_gone",
+        "No upstream of the software version that began the stream is "
+        "available; send the request anew."},
     result_code_row{
         result_code::upstream_unreachable, "upstream_unreachable",
         "No connection to the upstream was made, so nothing was sent."},
--- a/src/core/result_code.hpp
+++ b/src/core/result_code.hpp
@@ -51,6 +51,8 @@
     upstreams_limited = 311,
     upstreams_paused = 312,
     upstreams_leaving = 313,
+    stream_origin_unknown = 314,
+    software_version_gone = 315,
 
     upstream_unreachable = 401,
     upstream_draining = 402,
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -96,7 +96,20 @@
             }
         });
     state_.retry_budget_for(request_.service).on_request();
-    co_await run_attempts();
+    bool may_run = true;
+    if (is_resumption())
+    {
+        may_run = co_await find_stream_origin();
+    }
+    if (may_run)
+    {
+        co_await run_attempts();
+    }
+    else
+    {
+        co_await send_final_error();
+    }
+    record_stream_end();
     record_request_end(state_, request_, record_);
     co_await report_broken_attempt();
     end_trial();
@@ -217,17 +230,13 @@
     auto query = make_upstream_query(
         state_, request_, tried_upstreams_, record_.executions == 0);
     query.restricted = state_.statements.restricted();
-    if (stream_origin_)
-    {
-        query.software = stream_origin_->version;
-    }
-    auto selection =
-        state_.upstreams.choose(query, state_.random, monotonic_clock::now());
+    auto selection = choose_among_versions(query);
     if (auto* const chosen = std::get_if<serving::chosen_upstream>(&selection))
     {
         return std::move(*chosen);
     }
-    record_.code = result_code::no_upstream;
+    record_.code = stream_origin_ ? result_code::software_version_gone
+                                  : result_code::no_upstream;
     record_.restricted_upstreams.clear();
     if (auto* const restricted =
             std::get_if<serving::all_restricted>(&selection))
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -9,7 +9,6 @@
 #include "platform/request_codec.hpp"
 #include "serving/call.hpp"
 #include "serving/event_splitter.hpp"
-#include "stream_origin/stream_origin.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -77,8 +76,18 @@
     /// Returns whether another upstream can continue the response. The gateway
     /// forwards only complete events of a stream.
     [[nodiscard]] bool is_resumable_stream() const;
-    /// Notes where the stream began, before its first event is forwarded.
+    /// Returns whether the caller resumes a stream that broke off.
+    [[nodiscard]] bool is_resumption() const;
+    /// Finds the software version that began the stream. Otherwise sets the
+    /// result code.
+    asio::awaitable<bool> find_stream_origin();
+    /// Returns the request that brought the stream's first event.
+    [[nodiscard]] const request_id& stream_id() const;
+    /// Records where the stream began, before its first event is forwarded.
     void record_stream_begin(const serving::chosen_upstream& target);
+    void record_stream_end();
+    [[nodiscard]] serving::choice choose_among_versions(
+        serving::upstream_query query);
     asio::awaitable<next_step> forward_response(
         const serving::chosen_upstream& target, http::response_stream& stream);
     /// Returns nullopt and sets the result code if there is none.
@@ -159,8 +168,10 @@
         std::optional<http::address> main_cache_source;
     };
     /// What began the stream. Only upstreams of this service and version may
-    /// continue it. Unset before the first event.
+    /// continue it. Unset before the first event of a new stream.
     std::optional<stream_origin::origin> stream_origin_;
+    /// Whether the stream is among the open streams of this gateway.
+    bool stream_recorded_ = false;
     /// Set from the dispatch of an attempt until its response begins.
     std::optional<pending_prompt> pending_prompt_;
     /// Whether the upstream's response is a stream of server-sent events.
--- a/src/gateway/request_handler_streams.cpp
+++ b/src/gateway/request_handler_streams.cpp
@@ -1,6 +1,10 @@
 // Streams that are resumed: only upstreams of the software version that began a
 // stream may continue it.
+#include "core/overloaded.hpp"
 #include "gateway/request_handler.hpp"
+#include "telemetry/event_log.hpp"
+
+#include <algorithm>
 
 namespace wagtailseam::gateway
 {
@@ -10,14 +14,128 @@
     return request_.route->is_resumable_stream() && is_event_stream_;
 }
 
+bool request_handler::is_resumption() const
+{
+    return request_.route->is_resumable_stream() &&
+           !request_.call.last_event_id.empty();
+}
+
+const request_id& request_handler::stream_id() const
+{
+    const auto& resumed = request_.call.resumed_request;
+    return is_resumption() && !resumed.value().empty() ? resumed
+                                                       : request_.call.id;
+}
+
+asio::awaitable<bool> request_handler::find_stream_origin()
+{
+    const auto began_at = monotonic_clock::now();
+    origin_lookup found = origin_unknown{};
+    if (const auto own = state_.streams.open.find(stream_id()))
+    {
+        found = origin_known{*own, "gateway"};
+    }
+    else
+    {
+        found = co_await state_.streams.look_up_records(
+            stream_id(), *request_.route);
+    }
+    const auto* const known = std::get_if<origin_known>(&found);
+    const std::string_view outcome = std::visit(
+        overloaded{
+            [](const origin_known& origin) { return origin.source; },
+            [](const origin_unknown&) { return std::string_view("unknown"); },
+            [](const origin_lookup_failed&)
+            { return std::string_view("failed"); }},
+        found);
+    const auto* const failed = std::get_if<origin_lookup_failed>(&found);
+    telemetry::event("stream_origin")
+        .with("request", request_.call.id)
+        .with("resumed", stream_id())
+        .with("outcome", outcome)
+        .with(
+            "service", known != nullptr ? known->begun_by.service.value() : "")
+        .with(
+            "software", known != nullptr ? known->begun_by.version.value() : "")
+        .with("detail", failed != nullptr ? failed->detail : "")
+        .with("took_us", (monotonic_clock::now() - began_at).count());
+    state_.metrics.count(
+        "wagtail_stream_origin_lookups_total", "outcome", outcome);
+    if (known == nullptr)
+    {
+        record_.code = result_code::stream_origin_unknown;
+        co_return false;
+    }
+    const auto& services = request_.route->services;
+    const bool is_routed = std::any_of(
+        services.begin(), services.end(),
+        [&](const auto& share)
+        { return share.service == known->begun_by.service; });
+    if (!is_routed)
+    {
+        record_.code = result_code::software_version_gone;
+        co_return false;
+    }
+    stream_origin_ = known->begun_by;
+    request_.service = known->begun_by.service;
+    co_return true;
+}
+
 void request_handler::record_stream_begin(
     const serving::chosen_upstream& target)
 {
-    if (is_resumable_stream() && !stream_origin_)
+    if (!is_resumable_stream() || stream_recorded_)
+    {
+        return;
+    }
+    stream_recorded_ = true;
+    if (!stream_origin_)
     {
         stream_origin_ =
             stream_origin::origin{target.entry.service, target.entry.software};
     }
+    state_.streams.open.begin(stream_id(), *stream_origin_);
+}
+
+void request_handler::record_stream_end()
+{
+    if (!stream_recorded_)
+    {
+        return;
+    }
+    if (record_.code == result_code::ok)
+    {
+        state_.streams.open.complete(stream_id());
+        return;
+    }
+    state_.streams.open.break_off(stream_id(), monotonic_clock::now());
+}
+
+serving::choice request_handler::choose_among_versions(
+    serving::upstream_query query)
+{
+    const auto choose = [this](const serving::upstream_query& restricted)
+    {
+        return state_.upstreams.choose(
+            restricted, state_.random, monotonic_clock::now());
+    };
+    if (stream_origin_)
+    {
+        query.software = stream_origin_->version;
+        return choose(query);
+    }
+    if (!request_.route->is_resumable_stream())
+    {
+        return choose(query);
+    }
+    query.software = state_.streams.begins_at(request_.service);
+    if (query.software &&
+        !state_.upstreams.serves_version(
+            request_.service, *query.software, monotonic_clock::now()))
+    {
+        query.software.reset();
+    }
+    return choose(query);
 }
 
 } // namespace wagtailseam::gateway
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -6,6 +6,7 @@
 #include "core/random_source.hpp"
 #include "gateway/crash_registry.hpp"
 #include "gateway/statement_registry.hpp"
+#include "gateway/stream_origins.hpp"
 #include "platform/settings_file.hpp"
 #include "retry/retry_budget.hpp"
 #include "serving/cache_view.hpp"
@@ -47,10 +48,13 @@
         [](const upstream_id&) {};
     /// Whether the list of upstreams has been read completely at least once.
     bool upstream_list_read = false;
+    /// When the list of upstreams was last read, or reported as unchanged.
+    mono_time upstream_list_read_at;
     serving::cache_view caches;
     /// When the operator's table was last read, or reported as unchanged.
     mono_time operator_table_read_at;
     crash_registry crashes;
+    stream_origins streams;
     /// Claims the only trial of a suspect request among all gateways. Returns
     /// whether this gateway may run it.
     std::function<boost::asio::awaitable<bool>(
@@ -75,6 +79,12 @@
         const serving::service_id& service);
     /// Divides the retry slack by the number of gateways.
     void set_gateway_count(std::size_t count);
+    /// Returns the number of gateways; 1 while this one does not know the
+    /// others.
+    [[nodiscard]] std::size_t gateway_count() const noexcept
+    {
+        return gateway_count_.value_or(1);
+    }
     /// Applies changed bounds. Retries that were spent stay spent.
     void apply_bounds(const platform::service_level_bounds& bounds);
 
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -93,6 +93,7 @@
       quarantine_sync_(context, state, row_store_, peers_),
       statement_sync_(context, state, peers_),
       trial_claims_(context, state, row_store_),
+      stream_origin_sync_(context, state, row_store_),
       cache_store_client_(
           context.get_executor(),
           {.connect_timeout = store_connect_timeout,
@@ -109,6 +110,7 @@
     quarantine_sync_.start();
     statement_sync_.start();
     trial_claims_.start();
+    stream_origin_sync_.start();
     asio::co_spawn(
         context_,
         engine_status::register_listener(
@@ -390,6 +392,7 @@
         replace_upstreams(
             std::move(listed), scope == platform::row_scope::restored_table);
     }
+    state_.upstream_list_read_at = monotonic_clock::now();
 }
 
 void state_updater::remove_upstream(const upstream_id& id)
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -7,6 +7,7 @@
 #include "gateway/quarantine_sync.hpp"
 #include "gateway/shared_state.hpp"
 #include "gateway/statement_sync.hpp"
+#include "gateway/stream_origin_sync.hpp"
 #include "gateway/trial_claims.hpp"
 #include "http/client.hpp"
 #include "platform/row_store_client.hpp"
@@ -91,6 +92,7 @@
     quarantine_sync quarantine_sync_;
     statement_sync statement_sync_;
     trial_claims trial_claims_;
+    stream_origin_sync stream_origin_sync_;
     http::client cache_store_client_;
     /// Agent incarnation and sequence number of the last status of each engine.
     std::map<upstream_id, std::pair<std::uint64_t, std::uint64_t>> last_status_;
--- /dev/null
+++ b/src/gateway/stream_origin_sync.cpp
@@ -0,0 +1,486 @@
+// Coroutines that read and write the records of streams and the regimes.
+#include "gateway/stream_origin_sync.hpp"
+
+#include "routing/rendezvous.hpp"
+#include "telemetry/event_log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace wagtailseam::gateway
+{
+namespace
+{
+
+using stream_origin::version_regime;
+
+constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
+
+/// Streams that began within this time before a gateway is killed may be
+/// unknown to the others.
+constexpr std::chrono::milliseconds min_write_interval{250};
+/// Part of the agreed write rate of the store that the records may use.
+constexpr double write_rate_share = 0.25;
+/// A caller that resumes a stream waits for the records at most this long.
+constexpr std::chrono::milliseconds lookup_timeout{400};
+constexpr std::chrono::milliseconds regime_check_interval{200};
+/// Other gateways may make the regime single again.
+constexpr std::chrono::seconds mixed_regime_reread_interval{10};
+/// Writes of a regime are spread over this time per gateway, so that the
+/// first of them spares the others theirs.
+constexpr std::chrono::milliseconds regime_write_spread{2};
+
+std::string part_name(std::uint64_t number)
+{
+    return std::to_string(number);
+}
+
+} // namespace
+
+stream_origin_sync::stream_origin_sync(
+    asio::io_context& context, shared_state& state,
+    platform::row_store_client& row_store)
+    : context_(context), state_(state), row_store_(row_store),
+      own_part_(part_name(
+          routing::stable_hash(state.settings.vm.value()) %
+          stream_record_parts))
+{
+}
+
+void stream_origin_sync::start()
+{
+    state_.streams.look_up_records =
+        [this](const request_id& stream, const serving::route& route)
+    { return look_up(stream, route); };
+    row_store_.on_restored(
+        [this]
+        {
+            // The copy may contain a single regime although versions are mixed.
+            for (auto& [service, tracker] : state_.streams.regimes)
+            {
+                set_regime(
+                    service, stream_origin::unknown_regime{}, "store_restored");
+            }
+            recorded_additions_ = 0;
+        });
+    asio::co_spawn(context_, write_records(), asio::detached);
+    asio::co_spawn(context_, follow_regimes(), asio::detached);
+}
+
+asio::awaitable<void> stream_origin_sync::sleep_for(duration time)
+{
+    asio::steady_timer timer(context_, time);
+    co_await timer.async_wait(completion);
+}
+
+asio::awaitable<origin_lookup> stream_origin_sync::look_up(
+    request_id stream, serving::route route)
+{
+    const auto fresh = co_await read_fresh_snapshot();
+    if (!fresh)
+    {
+        co_return origin_lookup_failed{fresh.error().detail};
+    }
+    const auto& rows = fresh.value();
+    const auto record = rows.origins.find(stream);
+    if (record != rows.origins.end())
+    {
+        co_return origin_known{record->second, "record"};
+    }
+    if (route.services.size() != 1)
+    {
+        co_return origin_unknown{};
+    }
+    const auto& service = route.services.front().service;
+    const auto regime = rows.regimes.find(service);
+    if (regime != rows.regimes.end())
+    {
+        if (const auto* const single =
+                std::get_if<stream_origin::single_version>(&regime->second))
+        {
+            co_return origin_known{{service, single->version}, "regime"};
+        }
+    }
+    co_return origin_unknown{};
+}
+
+asio::awaitable<result<stream_origin_sync::snapshot>>
+stream_origin_sync::read_fresh_snapshot()
+{
+    if (!next_read_)
+    {
+        next_read_ = std::make_shared<pending_read>(context_);
+        next_read_->done.expires_after(lookup_timeout);
+        if (!reading_)
+        {
+            asio::co_spawn(context_, run_reads(), asio::detached);
+        }
+    }
+    const auto pending = next_read_;
+    if (!pending->outcome)
+    {
+        co_await pending->done.async_wait(completion);
+    }
+    if (!pending->outcome)
+    {
+        co_return fail(
+            result_code::platform_unavailable,
+            "the records of streams were not read within " +
+                std::to_string(lookup_timeout.count()) + " ms");
+    }
+    co_return *pending->outcome;
+}
+
+asio::awaitable<void> stream_origin_sync::run_reads()
+{
+    reading_ = true;
+    while (next_read_)
+    {
+        // Lookups from here on wait for the next read.
+        const auto current = std::exchange(next_read_, nullptr);
+        current->outcome = co_await read_snapshot();
+        if (*current->outcome)
+        {
+            apply_regimes(current->outcome->value().regimes);
+        }
+        else
+        {
+            state_.metrics.count("wagtail_stream_record_read_failures_total");
+        }
+        current->done.cancel();
+    }
+    reading_ = false;
+}
+
+asio::awaitable<result<stream_origin_sync::snapshot>>
+stream_origin_sync::read_snapshot()
+{
+    snapshot read{.read_at = monotonic_clock::now()};
+    for (std::uint64_t part = 0; part < stream_record_parts; ++part)
+    {
+        const auto rows = co_await row_store_.read_table(
+            stream_record_table, part_name(part));
+        if (!rows)
+        {
+            co_return boost::outcome_v2::failure(rows.error());
+        }
+        for (const auto& row : rows.value().rows)
+        {
+            auto origins =
+                stream_origin::decode_origins(row.value.value_or(""));
+            if (!origins)
+            {
+                telemetry::event("stream_record_ignored")
+                    .with("row", row.key)
+                    .with("detail", origins.error().detail)
+                    .warning();
+                continue;
+            }
+            read.origins.merge(origins.value());
+        }
+    }
+    const auto regimes = co_await row_store_.read_table(version_regime_table);
+    if (!regimes)
+    {
+        co_return boost::outcome_v2::failure(regimes.error());
+    }
+    read.regimes = decode_regimes(regimes.value());
+    co_return read;
+}
+
+stream_origin_sync::regime_map stream_origin_sync::decode_regimes(
+    const platform::row_set& rows)
+{
+    regime_map regimes;
+    regime_rows_.clear();
+    for (const auto& row : rows.rows)
+    {
+        const serving::service_id service{row.key};
+        const auto regime =
+            stream_origin::decode_regime(row.value.value_or(""));
+        if (!regime)
+        {
+            telemetry::event("version_regime_ignored")
+                .with("service", service)
+                .with("detail", regime.error().detail)
+                .warning();
+        }
+        regime_rows_.emplace(service, row.version);
+        // A row that cannot be decoded permits no assumption.
+        regimes.emplace(
+            service, regime ? regime.value()
+                            : version_regime(stream_origin::mixed_versions{}));
+    }
+    return regimes;
+}
+
+void stream_origin_sync::apply_regimes(const regime_map& read)
+{
+    regimes_read_at_ = monotonic_clock::now();
+    for (const auto& [service, tracker] : state_.streams.regimes)
+    {
+        const auto found = read.find(service);
+        set_regime(
+            service,
+            found == read.end() ? version_regime(stream_origin::absent_regime{})
+                                : found->second,
+            "read");
+    }
+}
+
+void stream_origin_sync::set_regime(
+    const serving::service_id& service, const version_regime& regime,
+    std::string_view cause)
+{
+    const auto tracker = state_.streams.regimes.find(service);
+    if (tracker == state_.streams.regimes.end() ||
+        tracker->second.regime() == regime)
+    {
+        return;
+    }
+    telemetry::event("version_regime")
+        .with("service", service)
+        .with("from", stream_origin::name(tracker->second.regime()))
+        .with("to", stream_origin::name(regime))
+        .with("cause", cause);
+    tracker->second.set_regime(regime);
+}
+
+duration stream_origin_sync::write_interval() const
+{
+    const std::chrono::duration<double> by_rate(
+        static_cast<double>(state_.gateway_count()) /
+        (write_rate_share * state_.settings.row_store_writes_per_second));
+    return std::max<duration>(
+        min_write_interval, std::chrono::duration_cast<duration>(by_rate));
+}
+
+asio::awaitable<void> stream_origin_sync::write_records()
+{
+    while (!co_await adopt_own_record())
+    {
+        co_await sleep_for(write_interval());
+    }
+    for (;;)
+    {
+        co_await sleep_for(write_interval());
+        state_.streams.open.expire(monotonic_clock::now());
+        if (state_.streams.open.additions() != recorded_additions_)
+        {
+            co_await write_record();
+        }
+    }
+}
+
+asio::awaitable<bool> stream_origin_sync::adopt_own_record()
+{
+    const auto rows =
+        co_await row_store_.read_table(stream_record_table, own_part_);
+    if (!rows)
+    {
+        telemetry::event("stream_record_not_adopted")
+            .with("detail", rows.error().detail);
+        co_return false;
+    }
+    for (const auto& row : rows.value().rows)
+    {
+        if (row.key != state_.settings.vm.value())
+        {
+            continue;
+        }
+        const auto origins =
+            stream_origin::decode_origins(row.value.value_or(""));
+        if (origins)
+        {
+            state_.streams.open.adopt(origins.value(), monotonic_clock::now());
+        }
+        telemetry::event("stream_record_adopted")
+            .with("streams", origins ? origins.value().size() : 0)
+            .with("detail", origins ? "" : origins.error().detail);
+    }
+    co_return true;
+}
+
+stream_origin::origin_map stream_origin_sync::streams_to_record() const
+{
+    auto origins = state_.streams.open.origins();
+    std::erase_if(
+        origins, [this](const auto& stream)
+        { return !state_.streams.needs_record(stream.second); });
+    return origins;
+}
+
+asio::awaitable<void> stream_origin_sync::write_record()
+{
+    const auto additions = state_.streams.open.additions();
+    const auto origins = streams_to_record();
+    if (origins.empty())
+    {
+        recorded_additions_ = additions;
+        co_return;
+    }
+    const auto written = co_await row_store_.put(
+        stream_record_table, state_.settings.vm.value(),
+        stream_origin::encode(origins), own_part_);
+    state_.metrics.count(
+        "wagtail_stream_record_writes_total", "result",
+        written ? "ok" : "failed");
+    if (written)
+    {
+        recorded_additions_ = additions;
+    }
+    if (written.has_error() != std::exchange(record_failed_, !written))
+    {
+        telemetry::event(
+            written ? "stream_record_writes_regained"
+                    : "stream_record_writes_lost")
+            .with("streams", origins.size())
+            .with("detail", written ? "" : written.error().detail);
+    }
+}
+
+asio::awaitable<void> stream_origin_sync::follow_regimes()
+{
+    for (;;)
+    {
+        update_trackers();
+        const auto& regimes = state_.streams.regimes;
+        const bool needs_read = std::any_of(
+            regimes.begin(), regimes.end(),
+            [](const auto& entry) { return entry.second.needs_read(); });
+        const bool any_mixed = std::any_of(
+            regimes.begin(), regimes.end(),
+            [](const auto& entry)
+            {
+                return std::holds_alternative<stream_origin::mixed_versions>(
+                    entry.second.regime());
+            });
+        const bool is_old = monotonic_clock::now() - regimes_read_at_ >=
+                            mixed_regime_reread_interval;
+        if (needs_read || (any_mixed && is_old))
+        {
+            (void)co_await read_regimes();
+        }
+        if (is_regime_write_due())
+        {
+            co_await write_due_regimes();
+        }
+        co_await sleep_for(regime_check_interval);
+    }
+}
+
+void stream_origin_sync::update_trackers()
+{
+    if (!state_.routes || !state_.upstream_list_read)
+    {
+        return;
+    }
+    std::set<serving::service_id> services;
+    for (const auto& route : state_.routes->config().routes)
+    {
+        if (!route.is_resumable_stream())
+        {
+            continue;
+        }
+        for (const auto& share : route.services)
+        {
+            services.insert(share.service);
+        }
+    }
+    auto& regimes = state_.streams.regimes;
+    std::erase_if(
+        regimes,
+        [&](const auto& entry) { return !services.contains(entry.first); });
+    const auto now = monotonic_clock::now();
+    for (const auto& service : services)
+    {
+        regimes[service].set_listed(
+            state_.upstreams.software_versions(service, now),
+            state_.upstream_list_read_at);
+    }
+}
+
+bool stream_origin_sync::is_regime_write_due() const
+{
+    const auto now = monotonic_clock::now();
+    return std::any_of(
+        state_.streams.regimes.begin(), state_.streams.regimes.end(),
+        [&](const auto& entry)
+        { return entry.second.due_write(now).has_value(); });
+}
+
+asio::awaitable<bool> stream_origin_sync::read_regimes()
+{
+    const auto rows = co_await row_store_.read_table(version_regime_table);
+    if (!rows)
+    {
+        state_.metrics.count("wagtail_stream_record_read_failures_total");
+        co_return false;
+    }
+    apply_regimes(decode_regimes(rows.value()));
+    co_return true;
+}
+
+asio::awaitable<void> stream_origin_sync::write_due_regimes()
+{
+    const auto spread = regime_write_spread *
+                        static_cast<duration::rep>(
+                            std::max<std::size_t>(1, state_.gateway_count()));
+    co_await sleep_for(duration(static_cast<duration::rep>(
+        state_.random.below(static_cast<std::uint64_t>(
+            std::chrono::duration_cast<duration>(spread).count())))));
+    if (!co_await read_regimes())
+    {
+        co_return;
+    }
+    const auto now = monotonic_clock::now();
+    regime_map due;
+    for (const auto& [service, tracker] : state_.streams.regimes)
+    {
+        if (auto wanted = tracker.due_write(now))
+        {
+            due.emplace(service, std::move(*wanted));
+        }
+    }
+    for (const auto& [service, wanted] : due)
+    {
+        co_await write_regime(service, wanted);
+    }
+}
+
+asio::awaitable<void> stream_origin_sync::write_regime(
+    serving::service_id service, version_regime wanted)
+{
+    const auto row = regime_rows_.find(service);
+    const auto expected =
+        row == regime_rows_.end() ? platform::store_version{0} : row->second;
+    const platform::row_change change{
+        .key = service.value(), .value = stream_origin::encode(wanted)};
+    const auto written =
+        co_await row_store_.write_if(version_regime_table, change, expected);
+    if (!written)
+    {
+        telemetry::event("version_regime_not_written")
+            .with("service", service)
+            .with("regime", stream_origin::name(wanted))
+            .with("detail", written.error().detail);
+        co_return;
+    }
+    if (const auto* const position =
+            std::get_if<platform::store_position>(&written.value()))
+    {
+        regime_rows_.insert_or_assign(service, position->version);
+        set_regime(service, wanted, "written");
+        co_return;
+    }
+    // Another gateway wrote the row, so it is read again.
+    (void)co_await read_regimes();
+}
+
+} // namespace wagtailseam::gateway
--- /dev/null
+++ b/src/gateway/stream_origin_sync.hpp
@@ -0,0 +1,115 @@
+// Records the origins of streams in the row store, from which another gateway
+// learns them when a caller resumes a stream there.
+#ifndef WAGTAILSEAM_GATEWAY_STREAM_ORIGIN_SYNC_HPP
+#define WAGTAILSEAM_GATEWAY_STREAM_ORIGIN_SYNC_HPP
+
+#include "gateway/shared_state.hpp"
+#include "platform/row_store_client.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace wagtailseam::gateway
+{
+
+namespace asio = boost::asio;
+
+/// Table with one row per gateway, which holds its open streams.
+inline constexpr const char* stream_record_table = "stream_records";
+/// Table with one row per service, which holds its version regime.
+inline constexpr const char* version_regime_table = "version_regimes";
+/// Parts of the table of records. A part of the store executes only some
+/// hundred transactions per second.
+inline constexpr std::uint64_t stream_record_parts = 4;
+
+/// Runs until the io_context stops.
+class stream_origin_sync
+{
+public:
+    stream_origin_sync(
+        asio::io_context& context, shared_state& state,
+        platform::row_store_client& row_store);
+    stream_origin_sync(const stream_origin_sync&) = delete;
+    stream_origin_sync& operator=(const stream_origin_sync&) = delete;
+
+    void start();
+
+private:
+    using regime_map =
+        std::map<serving::service_id, stream_origin::version_regime>;
+
+    /// The rows of all gateways and services at one time.
+    struct snapshot
+    {
+        stream_origin::origin_map origins;
+        regime_map regimes;
+        mono_time read_at;
+    };
+    /// A read that one or more lookups wait for.
+    struct pending_read
+    {
+        explicit pending_read(asio::io_context& context) : done(context) {}
+
+        asio::steady_timer done;
+        /// Unset until the read has ended.
+        std::optional<result<snapshot>> outcome;
+    };
+
+    asio::awaitable<origin_lookup> look_up(
+        request_id stream, serving::route route);
+    /// Returns rows that were read after the call.
+    asio::awaitable<result<snapshot>> read_fresh_snapshot();
+    asio::awaitable<void> run_reads();
+    asio::awaitable<result<snapshot>> read_snapshot();
+    /// Reads the regimes of all services and applies them.
+    asio::awaitable<bool> read_regimes();
+    /// Also stores the versions of the rows, as conditions of later writes.
+    [[nodiscard]] regime_map decode_regimes(const platform::row_set& rows);
+    void apply_regimes(const regime_map& read);
+
+    asio::awaitable<void> write_records();
+    /// Takes over the streams that the previous incarnation recorded.
+    asio::awaitable<bool> adopt_own_record();
+    asio::awaitable<void> write_record();
+    [[nodiscard]] stream_origin::origin_map streams_to_record() const;
+    [[nodiscard]] duration write_interval() const;
+
+    asio::awaitable<void> follow_regimes();
+    /// Adds and removes trackers, and passes the listed versions to them.
+    void update_trackers();
+    [[nodiscard]] bool is_regime_write_due() const;
+    asio::awaitable<void> write_due_regimes();
+    asio::awaitable<void> write_regime(
+        serving::service_id service, stream_origin::version_regime wanted);
+    void set_regime(
+        const serving::service_id& service,
+        const stream_origin::version_regime& regime, std::string_view cause);
+    asio::awaitable<void> sleep_for(duration time);
+
+    asio::io_context& context_;
+    shared_state& state_;
+    platform::row_store_client& row_store_;
+    /// The part of the table in which this gateway's row lies.
+    std::string own_part_;
+    /// The read that the next lookups wait for; null if none has to begin.
+    std::shared_ptr<pending_read> next_read_;
+    bool reading_ = false;
+    /// Versions of the regimes' rows as last read.
+    std::map<serving::service_id, platform::store_version> regime_rows_;
+    mono_time regimes_read_at_;
+    /// Additions to the open streams that the record contains.
+    std::uint64_t recorded_additions_ = 0;
+    /// Whether the last write of the record failed.
+    bool record_failed_ = false;
+};
+
+} // namespace wagtailseam::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/stream_origins.hpp
@@ -0,0 +1,73 @@
+// What a gateway knows of the software versions at which streams began.
+#ifndef WAGTAILSEAM_GATEWAY_STREAM_ORIGINS_HPP
+#define WAGTAILSEAM_GATEWAY_STREAM_ORIGINS_HPP
+
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+#include "serving/configuration.hpp"
+#include "stream_origin/open_streams.hpp"
+#include "stream_origin/version_regime.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace wagtailseam::gateway
+{
+
+/// The stream began at this service and version.
+struct origin_known
+{
+    stream_origin::origin begun_by;
+    /// "gateway", "record" or "regime", for the log.
+    std::string_view source;
+};
+
+/// No gateway recorded the stream, and several versions may have begun it.
+struct origin_unknown
+{
+};
+
+/// The records could not be read.
+struct origin_lookup_failed
+{
+    std::string detail;
+};
+
+using origin_lookup =
+    std::variant<origin_known, origin_unknown, origin_lookup_failed>;
+
+/// The part of the shared state that concerns streams which a caller or the
+/// gateway resumes.
+struct stream_origins
+{
+    /// The streams of this gateway.
+    stream_origin::open_streams open;
+    /// Regimes of the services to which resumable streams are routed.
+    std::map<serving::service_id, stream_origin::regime_tracker> regimes;
+    /// Reads the records of all gateways and finds the origin of a stream that
+    /// is not among those of this one.
+    std::function<boost::asio::awaitable<origin_lookup>(
+        const request_id& stream, const serving::route& route)>
+        look_up_records =
+            [](const auto&,
+               const auto&) -> boost::asio::awaitable<origin_lookup>
+    { co_return origin_unknown{}; };
+
+    /// Returns whether a stream that begins at this origin has to be recorded.
+    [[nodiscard]] bool needs_record(
+        const stream_origin::origin& begun_by) const;
+    /// Returns the version at which new streams of a service begin while one of
+    /// its upstreams is available; nullopt: any.
+    [[nodiscard]] std::optional<serving::software_version> begins_at(
+        const serving::service_id& service) const;
+};
+
+} // namespace wagtailseam::gateway
+
+#endif
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -227,6 +227,16 @@
     /// that was restored from an older copy may contain them again.
     void remove_departed(std::vector<upstream>& listed) const;
 
+    /// Returns the software versions of a service's upstreams that are listed,
+    /// also of those that drain.
+    [[nodiscard]] std::set<software_version> software_versions(
+        const service_id& service, mono_time now) const;
+    /// Returns whether an upstream of a software version is listed and does not
+    /// leave.
+    [[nodiscard]] bool serves_version(
+        const service_id& service, const software_version& version,
+        mono_time now) const;
+
     /// Applies a load report of an engine's agent.
     void update_load(
         const upstream_id& id, const engine_load& load, mono_time now);
--- a/src/serving/load_balancer_list.cpp
+++ b/src/serving/load_balancer_list.cpp
@@ -151,4 +151,34 @@
         });
 }
 
+std::set<software_version> load_balancer::software_versions(
+    const service_id& service, mono_time now) const
+{
+    std::set<software_version> versions;
+    for (const auto& [id, state] : upstreams_)
+    {
+        const bool listed = !state.removed_at || now < *state.removed_at;
+        if (listed && state.entry.service == service)
+        {
+            versions.insert(state.entry.software);
+        }
+    }
+    return versions;
+}
+
+bool load_balancer::serves_version(
+    const service_id& service, const software_version& version,
+    mono_time now) const
+{
+    return std::any_of(
+        upstreams_.begin(), upstreams_.end(),
+        [&](const auto& entry)
+        {
+            const auto& state = entry.second;
+            return state.entry.service == service &&
+                   state.entry.software == version &&
+                   !is_draining_or_removed(state, now);
+        });
+}
+
 } // namespace wagtailseam::serving
--- a/src/serving/test/load_balancer_test.cpp
+++ b/src/serving/test/load_balancer_test.cpp
@@ -34,6 +34,18 @@
              .weights = {{model, weight_version{1}}}});
     }
 
+    void list_version(
+        const std::string& id, const std::string& software,
+        bool draining = false)
+    {
+        balancer_.upsert(
+            {.id = upstream_id{id},
+             .service = engines,
+             .address = http::address{"10.0.0.1:80"},
+             .software = software_version{software},
+             .draining = draining});
+    }
+
     [[nodiscard]] upstream_query make_query() const
     {
         return {.service = engines, .local_data_centre = local_data_centre};
@@ -80,6 +92,44 @@
     mono_time now_{seconds(1000)};
 };
 
+TEST_F(load_balancer_fixture, query_excludes_other_software_versions)
+{
+    list_version("a", "1");
+    list_version("b", "2");
+    auto query = make_query();
+    query.software = software_version{"2"};
+    EXPECT_EQ(chosen_id(query), "b");
+    query.software = software_version{"3"};
+    EXPECT_EQ(chosen_id(query), "none");
+}
+
+TEST_F(load_balancer_fixture, software_versions_include_those_that_drain)
+{
+    list_version("a", "1");
+    list_version("b", "2", true);
+    EXPECT_EQ(
+        balancer_.software_versions(engines, now_),
+        (std::set{software_version{"1"}, software_version{"2"}}));
+    EXPECT_TRUE(balancer_.software_versions(service_id{"other"}, now_).empty());
+    EXPECT_TRUE(balancer_.serves_version(engines, software_version{"1"}, now_));
+    EXPECT_FALSE(
+        balancer_.serves_version(engines, software_version{"2"}, now_));
+}
+
+TEST_F(load_balancer_fixture, software_version_is_kept_for_the_grace_period)
+{
+    list_version("a", "1");
+    balancer_.begin_attempt(upstream_id{"a"}, {});
+    balancer_.remove(upstream_id{"a"}, seconds(1), now_);
+    const std::set versions{software_version{"1"}};
+    EXPECT_EQ(balancer_.software_versions(engines, now_), versions);
+    EXPECT_TRUE(balancer_.serves_version(engines, software_version{"1"}, now_));
+    now_ += seconds(1);
+    EXPECT_TRUE(balancer_.software_versions(engines, now_).empty());
+    EXPECT_FALSE(
+        balancer_.serves_version(engines, software_version{"1"}, now_));
+}
+
 TEST_F(load_balancer_fixture, draining_upstream_gets_no_requests_at_once)
 {
     list("a");
