Record a stream before its first event is forwarded

Callers resumed streams that their gateway had begun within 250 ms before it was killed. No gateway knew the version of these, so they were refused, and came back again and again.

The first event of a stream waits until its record is written, for at most 80 ms; the record is written when a stream was added, at most every max(25 ms, gateways / half of the store's agreed writes per second). It waits only while versions are mixed, and not at all while the last write failed: such a stream may be unknown to others and is then refused, never mixed.

--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -84,7 +84,8 @@
     /// Returns the request that brought the stream's first event.
     [[nodiscard]] const request_id& stream_id() const;
     /// Records where the stream began, before its first event is forwarded.
-    void record_stream_begin(const serving::chosen_upstream& target);
+    asio::awaitable<void> record_stream_begin(
+        const serving::chosen_upstream& target);
     void record_stream_end();
     [[nodiscard]] serving::choice choose_among_versions(
         serving::upstream_query query);
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -156,7 +156,7 @@
         chunk = complete_events;
         if (!chunk.empty())
         {
-            record_stream_begin(target);
+            co_await record_stream_begin(target);
         }
     }
     forwarded_body_bytes_ += chunk.size();
--- a/src/gateway/request_handler_streams.cpp
+++ b/src/gateway/request_handler_streams.cpp
@@ -30,15 +30,17 @@
 asio::awaitable<bool> request_handler::find_stream_origin()
 {
     const auto began_at = monotonic_clock::now();
+    const auto own = state_.streams.open.find(stream_id());
     origin_lookup found = origin_unknown{};
-    if (const auto own = state_.streams.open.find(stream_id()))
+    if (own)
     {
         found = origin_known{*own, "gateway"};
     }
     else
     {
-        found = co_await state_.streams.look_up_records(
+        auto recorded = co_await state_.streams.look_up_records(
             stream_id(), *request_.route);
+        found = std::move(recorded);
     }
     const auto* const known = std::get_if<origin_known>(&found);
     const std::string_view outcome = std::visit(
@@ -81,12 +83,12 @@
     co_return true;
 }
 
-void request_handler::record_stream_begin(
+asio::awaitable<void> request_handler::record_stream_begin(
     const serving::chosen_upstream& target)
 {
     if (!is_resumable_stream() || stream_recorded_)
     {
-        return;
+        co_return;
     }
     stream_recorded_ = true;
     if (!stream_origin_)
@@ -94,7 +96,12 @@
         stream_origin_ =
             stream_origin::origin{target.entry.service, target.entry.software};
     }
-    state_.streams.open.begin(stream_id(), *stream_origin_);
+    auto& streams = state_.streams;
+    streams.open.begin(stream_id(), *stream_origin_);
+    if (streams.needs_record(*stream_origin_))
+    {
+        co_await streams.wait_until_recorded(streams.open.additions());
+    }
 }
 
 void request_handler::record_stream_end()
--- a/src/gateway/stream_origin_sync.cpp
+++ b/src/gateway/stream_origin_sync.cpp
@@ -22,14 +22,20 @@
 
 constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
 
-/// Streams that began within this time before a gateway is killed may be
-/// unknown to the others.
-constexpr std::chrono::milliseconds min_write_interval{250};
+/// The first event of a stream waits for its record at most about this long.
+constexpr std::chrono::milliseconds min_write_interval{25};
 /// Part of the agreed write rate of the store that the records may use.
-constexpr double write_rate_share = 0.25;
+constexpr double write_rate_share = 0.5;
+/// An event of a stream is late if it is forwarded over 120 ms after it was
+/// made.
+constexpr std::chrono::milliseconds max_record_wait{80};
+/// Pause after a failed write or read of the own record.
+constexpr std::chrono::milliseconds record_retry_delay{250};
 /// A caller that resumes a stream waits for the records at most this long.
 constexpr std::chrono::milliseconds lookup_timeout{400};
 constexpr std::chrono::milliseconds regime_check_interval{200};
+/// Time after which streams that broke off are looked through again.
+constexpr std::chrono::seconds expiry_interval{1};
 /// Other gateways may make the regime single again.
 constexpr std::chrono::seconds mixed_regime_reread_interval{10};
 /// Writes of a regime are spread over this time per gateway, so that the
@@ -47,6 +53,8 @@
     asio::io_context& context, shared_state& state,
     platform::row_store_client& row_store)
     : context_(context), state_(state), row_store_(row_store),
+      record_changed_(context),
+      record_written_(context, asio::steady_timer::time_point::max()),
       own_part_(part_name(
           routing::stable_hash(state.settings.vm.value()) %
           stream_record_parts))
@@ -58,6 +66,8 @@
     state_.streams.look_up_records =
         [this](const request_id& stream, const serving::route& route)
     { return look_up(stream, route); };
+    state_.streams.wait_until_recorded = [this](std::uint64_t addition)
+    { return wait_until_recorded(addition); };
     row_store_.on_restored(
         [this]
         {
@@ -68,6 +78,7 @@
                     service, stream_origin::unknown_regime{}, "store_restored");
             }
             recorded_additions_ = 0;
+            record_changed_.cancel();
         });
     asio::co_spawn(context_, write_records(), asio::detached);
     asio::co_spawn(context_, follow_regimes(), asio::detached);
@@ -82,59 +93,63 @@
 asio::awaitable<origin_lookup> stream_origin_sync::look_up(
     request_id stream, serving::route route)
 {
-    const auto fresh = co_await read_fresh_snapshot();
-    if (!fresh)
+    const auto read = co_await wait_for_read();
+    auto found = find_origin(*read, stream, route);
+    co_return found;
+}
+
+origin_lookup stream_origin_sync::find_origin(
+    const pending_read& read, const request_id& stream,
+    const serving::route& route)
+{
+    if (!read.rows)
     {
-        co_return origin_lookup_failed{fresh.error().detail};
+        return origin_lookup_failed{read.failure};
     }
-    const auto& rows = fresh.value();
+    const auto& rows = *read.rows;
     const auto record = rows.origins.find(stream);
     if (record != rows.origins.end())
     {
-        co_return origin_known{record->second, "record"};
+        return origin_known{record->second, "record"};
     }
+    // A request may have been routed to any of several services.
     if (route.services.size() != 1)
     {
-        co_return origin_unknown{};
+        return origin_unknown{};
     }
     const auto& service = route.services.front().service;
     const auto regime = rows.regimes.find(service);
-    if (regime != rows.regimes.end())
+    if (regime == rows.regimes.end())
     {
-        if (const auto* const single =
-                std::get_if<stream_origin::single_version>(&regime->second))
-        {
-            co_return origin_known{{service, single->version}, "regime"};
-        }
+        return origin_unknown{};
     }
-    co_return origin_unknown{};
+    const auto* const single =
+        std::get_if<stream_origin::single_version>(&regime->second);
+    if (single == nullptr)
+    {
+        return origin_unknown{};
+    }
+    return origin_known{{service, single->version}, "regime"};
 }
 
-asio::awaitable<result<stream_origin_sync::snapshot>>
-stream_origin_sync::read_fresh_snapshot()
+asio::awaitable<std::shared_ptr<const stream_origin_sync::pending_read>>
+stream_origin_sync::wait_for_read()
 {
-    if (!next_read_)
+    const bool is_first = next_read_ == nullptr;
+    if (is_first)
     {
         next_read_ = std::make_shared<pending_read>(context_);
         next_read_->done.expires_after(lookup_timeout);
-        if (!reading_)
-        {
-            asio::co_spawn(context_, run_reads(), asio::detached);
-        }
     }
+    // The coroutine may take the read before co_spawn() returns.
     const auto pending = next_read_;
-    if (!pending->outcome)
-    {
-        co_await pending->done.async_wait(completion);
-    }
-    if (!pending->outcome)
+    if (is_first && !reading_)
     {
-        co_return fail(
-            result_code::platform_unavailable,
-            "the records of streams were not read within " +
-                std::to_string(lookup_timeout.count()) + " ms");
+        asio::co_spawn(context_, run_reads(), asio::detached);
     }
-    co_return *pending->outcome;
+    co_await pending->done.async_wait(completion);
+    std::shared_ptr<const pending_read> ended = pending;
+    co_return ended;
 }
 
 asio::awaitable<void> stream_origin_sync::run_reads()
@@ -144,13 +159,15 @@
     {
         // Lookups from here on wait for the next read.
         const auto current = std::exchange(next_read_, nullptr);
-        current->outcome = co_await read_snapshot();
-        if (*current->outcome)
+        auto outcome = co_await read_snapshot();
+        if (outcome)
         {
-            apply_regimes(current->outcome->value().regimes);
+            apply_regimes(outcome.value().regimes);
+            current->rows = std::move(outcome).value();
         }
         else
         {
+            current->failure = outcome.error().detail;
             state_.metrics.count("wagtail_stream_record_read_failures_total");
         }
         current->done.cancel();
@@ -263,18 +280,53 @@
 
 asio::awaitable<void> stream_origin_sync::write_records()
 {
-    while (!co_await adopt_own_record())
+    bool adopted = co_await adopt_own_record();
+    while (!adopted)
     {
-        co_await sleep_for(write_interval());
+        co_await sleep_for(record_retry_delay);
+        adopted = co_await adopt_own_record();
     }
     for (;;)
     {
-        co_await sleep_for(write_interval());
-        state_.streams.open.expire(monotonic_clock::now());
-        if (state_.streams.open.additions() != recorded_additions_)
+        auto& open = state_.streams.open;
+        open.expire(monotonic_clock::now());
+        if (open.additions() == recorded_additions_)
         {
-            co_await write_record();
+            record_changed_.expires_after(expiry_interval);
+            co_await record_changed_.async_wait(completion);
+            continue;
         }
+        co_await write_record();
+        record_written_.cancel();
+        co_await sleep_for(
+            record_failed_ ? duration(record_retry_delay) : write_interval());
+    }
+}
+
+asio::awaitable<void> stream_origin_sync::wait_until_recorded(
+    std::uint64_t addition)
+{
+    record_changed_.cancel();
+    const auto deadline = monotonic_clock::now() + max_record_wait;
+    while (recorded_additions_ < addition && !record_failed_ &&
+           monotonic_clock::now() < deadline)
+    {
+        asio::steady_timer timeout(context_, deadline - monotonic_clock::now());
+        timeout.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (!error)
+                {
+                    record_written_.cancel();
+                }
+            });
+        co_await record_written_.async_wait(completion);
+    }
+    if (recorded_additions_ < addition)
+    {
+        // Another gateway cannot resume the stream, which costs less than to
+        // hold it back while the store does not answer.
+        state_.metrics.count("wagtail_streams_not_recorded_total");
     }
 }
 
--- a/src/gateway/stream_origin_sync.hpp
+++ b/src/gateway/stream_origin_sync.hpp
@@ -57,15 +57,22 @@
     {
         explicit pending_read(asio::io_context& context) : done(context) {}
 
+        /// Expires when the lookups give up, and is cancelled when the read
+        /// has ended.
         asio::steady_timer done;
-        /// Unset until the read has ended.
-        std::optional<result<snapshot>> outcome;
+        /// Unset until the read has succeeded.
+        std::optional<snapshot> rows;
+        /// Why there are no rows.
+        std::string failure = "the records were not read in time";
     };
 
     asio::awaitable<origin_lookup> look_up(
         request_id stream, serving::route route);
-    /// Returns rows that were read after the call.
-    asio::awaitable<result<snapshot>> read_fresh_snapshot();
+    [[nodiscard]] static origin_lookup find_origin(
+        const pending_read& read, const request_id& stream,
+        const serving::route& route);
+    /// Returns a read that began after the call.
+    asio::awaitable<std::shared_ptr<const pending_read>> wait_for_read();
     asio::awaitable<void> run_reads();
     asio::awaitable<result<snapshot>> read_snapshot();
     /// Reads the regimes of all services and applies them.
@@ -75,6 +82,9 @@
     void apply_regimes(const regime_map& read);
 
     asio::awaitable<void> write_records();
+    /// Returns when the record contains an addition to the open streams, after
+    /// a time limit, or at once while the record cannot be written.
+    asio::awaitable<void> wait_until_recorded(std::uint64_t addition);
     /// Takes over the streams that the previous incarnation recorded.
     asio::awaitable<bool> adopt_own_record();
     asio::awaitable<void> write_record();
@@ -96,6 +106,10 @@
     asio::io_context& context_;
     shared_state& state_;
     platform::row_store_client& row_store_;
+    /// Cancelled when a stream was added.
+    asio::steady_timer record_changed_;
+    /// Never expires; cancelled when the record was written.
+    asio::steady_timer record_written_;
     /// The part of the table in which this gateway's row lies.
     std::string own_part_;
     /// The read that the next lookups wait for; null if none has to begin.
--- a/src/gateway/stream_origins.hpp
+++ b/src/gateway/stream_origins.hpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -58,6 +59,11 @@
             [](const auto&,
                const auto&) -> boost::asio::awaitable<origin_lookup>
     { co_return origin_unknown{}; };
+    /// Returns when other gateways can find a stream that was added to the open
+    /// ones, or after a time limit.
+    std::function<boost::asio::awaitable<void>(std::uint64_t addition)>
+        wait_until_recorded = [](auto) -> boost::asio::awaitable<void>
+    { co_return; };
 
     /// Returns whether a stream that begins at this origin has to be recorded.
     [[nodiscard]] bool needs_record(
