Attribute a repeated refusal to no later request

Callers were told "not run, try again" for requests that an upstream had executed, when a faulty upstream sent an earlier refusal once more on a kept connection (a repeated refusal); idempotent requests and resumable streams could also be executed twice.

Cause: the client attributed a response by its place in the connection in two cases. A response without a request id counted as the response to the current request on a reused connection. A request that was sent again after a refusal (421 for other weights; a caller that repeats its id) could reuse the connection of the refusal, whose repetition has the same id. Routes that are not retried never reuse a connection and were not affected.

The parts of a connection move to their own file.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,6 +2,7 @@
 #include "http/client.hpp"
 
 #include "http/endpoint.hpp"
+#include "http/pooled_connection.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -25,60 +26,20 @@
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
 using tcp = asio::ip::tcp;
+using connection = pooled_connection;
 
 constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
 /// Larger bodies are written while the response is read. Otherwise, a
 /// server that responds before it has read the body would deadlock with the
 /// client as soon as the socket buffers are full.
 constexpr std::size_t min_concurrent_write_bytes = std::size_t{8} * 1024;
-/// Limit of received bytes that are not parsed yet. It is above any limit of a
-/// header, and ends a chunk header without end.
-constexpr std::size_t max_buffered_bytes = std::size_t{64} * 1024;
 /// Limit of late responses to earlier requests that one request discards.
 constexpr int max_discarded_responses = 2;
 /// Limit of interim (1xx) responses before a final one.
 constexpr int max_interim_responses = 8;
-/// Fraction of the server's Keep-Alive timeout for which the client reuses an
-/// idle connection.
-constexpr double keep_alive_fraction = 0.7;
-
 using tcp_user_timeout_option =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
-struct connection
-{
-    explicit connection(const asio::any_io_executor& executor)
-        : stream(executor)
-    {
-    }
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer{max_buffered_bytes};
-    /// False while a request is being written, and after a failed write.
-    bool write_complete = true;
-    bool is_pooled = false;
-    /// When the connection was returned to the pool.
-    mono_time idle_since;
-    /// How long it may stay in the pool.
-    duration max_idle_time{};
-};
-
-/// Returns whether an idle connection can be reused. Pending bytes or an end of
-/// stream mean that the server has closed it or sent unexpected data.
-bool is_usable(connection& idle)
-{
-    if (monotonic_clock::now() - idle.idle_since > idle.max_idle_time)
-    {
-        return false;
-    }
-    char byte = 0;
-    boost::system::error_code error;
-    auto& socket = idle.stream.socket();
-    socket.non_blocking(true, error);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block;
-}
-
 bhttp::request<bhttp::string_body> to_beast_message(
     const address& server, request source)
 {
@@ -128,17 +89,6 @@
     co_return error;
 }
 
-/// Returns how long to reuse an idle connection: a fraction of the time for
-/// which the server keeps it, at most `limit`.
-duration reuse_period(const response& header, duration limit)
-{
-    const auto timeout = keep_alive_timeout(header);
-    return timeout ? std::min(
-                         limit, std::chrono::duration_cast<duration>(
-                                    *timeout * keep_alive_fraction))
-                   : limit;
-}
-
 } // namespace
 
 void cancellation_handle::cancel() noexcept
@@ -165,7 +115,9 @@
         idle_connections;
 
     /// Removes a reusable connection from the pool; null if there is none.
-    std::shared_ptr<connection> acquire_idle(const address& server);
+    /// @param correlation value of the request to send; empty if there is none
+    std::shared_ptr<connection> acquire_idle(
+        const address& server, std::string_view correlation);
     /// Returns a connection to the pool unless the pool is full.
     void release(
         const address& server, std::shared_ptr<connection> conn,
@@ -176,25 +128,44 @@
         const address& server, const std::shared_ptr<connection>& idle);
     /// Returns a pooled connection or establishes a new one.
     asio::awaitable<result<std::shared_ptr<connection>>> connect(
-        address server, const open_options& request_options);
+        address server, std::string correlation,
+        const open_options& request_options);
 };
 
-std::shared_ptr<connection> client::state::acquire_idle(const address& server)
+std::shared_ptr<connection> client::state::acquire_idle(
+    const address& server, std::string_view correlation)
 {
     const auto found = idle_connections.find(server);
-    while (found != idle_connections.end() && !found->second.empty())
+    if (found == idle_connections.end())
     {
-        auto candidate = std::move(found->second.back());
-        found->second.pop_back();
+        return nullptr;
+    }
+    auto& idle = found->second;
+    for (;;)
+    {
+        // On a connection that had a request with this value, a repeated
+        // response to that request would look like the response to this one.
+        const auto newest = std::find_if(
+            idle.rbegin(), idle.rend(),
+            [&](const auto& candidate) {
+                return correlation.empty() ||
+                       !candidate->sent.contains(correlation);
+            });
+        if (newest == idle.rend())
+        {
+            return nullptr;
+        }
+        auto candidate = std::move(*newest);
+        idle.erase(std::next(newest).base());
         candidate->is_pooled = false;
         boost::system::error_code ignored;
         candidate->stream.socket().cancel(ignored);
         if (is_usable(*candidate))
         {
+            candidate->is_reused = true;
             return candidate;
         }
     }
-    return nullptr;
 }
 
 void client::state::release(
@@ -237,10 +208,12 @@
 }
 
 asio::awaitable<result<std::shared_ptr<connection>>> client::state::connect(
-    address server, const open_options& request_options)
+    address server, std::string correlation,
+    const open_options& request_options)
 {
-    auto pooled =
-        request_options.force_new_connection ? nullptr : acquire_idle(server);
+    auto pooled = request_options.force_new_connection
+                      ? nullptr
+                      : acquire_idle(server, correlation);
     if (pooled)
     {
         co_return std::move(pooled);
@@ -368,8 +341,8 @@
     co_return boost::system::error_code{};
 }
 
-/// Reads the response header for this request and discards late responses to
-/// earlier requests.
+/// Reads the response header for this request and discards late or repeated
+/// responses to earlier requests.
 asio::awaitable<result<void>> response_stream::state::receive_response(
     std::string correlation_header, std::string expected, client_options limits,
     mono_time deadline)
@@ -382,7 +355,12 @@
             co_return fail(result_code::stream_broken, error.message());
         }
         const auto received = header.header(correlation_header);
-        if (expected.empty() || received.empty() || received == expected)
+        // Without a value, only the first response on a connection is known to
+        // belong to this request.
+        const bool is_own = received.empty()
+                                ? !conn->is_reused && discarded == 0
+                                : received == expected;
+        if (expected.empty() || is_own)
         {
             co_return boost::outcome_v2::success();
         }
@@ -525,7 +503,8 @@
 asio::awaitable<result<response_stream>> client::open(
     address server, request message, open_options options)
 {
-    auto connected = co_await state_->connect(server, options);
+    const std::string expected(message.header(options.correlation_header));
+    auto connected = co_await state_->connect(server, expected, options);
     if (!connected)
     {
         co_return boost::outcome_v2::failure(connected.error());
@@ -551,7 +530,10 @@
             }
         };
     }
-    const std::string expected(message.header(options.correlation_header));
+    if (!expected.empty())
+    {
+        conn->sent.add(expected);
+    }
     const auto beast_message = std::make_shared<beast_request>(
         to_beast_message(server, std::move(message)));
     const auto deadline = monotonic_clock::now() + options.timeout;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -68,8 +68,10 @@
     /// unnoticed, and then it is unknown whether the request was processed.
     bool force_new_connection = false;
     /// Name of a header field that the server copies from the request to the
-    /// response. A response with another value belongs to an earlier request
-    /// and is discarded. Empty disables the check.
+    /// response. A response with another value, or with none on a reused
+    /// connection, belongs to an earlier request and is discarded. A connection
+    /// is not reused for a value that was sent on it recently. Empty disables
+    /// these checks.
     std::string correlation_header;
     /// Called once the connection is established, before the first byte is
     /// written; may be empty.
