Treat only successful responses as event streams

A caller whose resumable request was answered with an error of content type text/event-stream got the head of the error and then a closed connection. If such an error broke off between events, the body of a second error was appended to it.

The gateway took every response with this content type for a stream that another upstream can continue. It held back text that is no whole event and then retried below a head that was sent already.

Now a response counts as an event stream only if its status is a success; an error is forwarded as it is, or broken off.

--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -49,9 +49,11 @@
 
 constexpr unsigned status_server_error = 500;
 
+/// An error with this content type is a text that no upstream can continue.
 bool is_event_stream(const http::response& head)
 {
-    return head.content_type.starts_with("text/event-stream");
+    return head.status < status_redirection &&
+           head.content_type.starts_with("text/event-stream");
 }
 
 } // namespace
