Append only events that follow the last one to a stream

A caller whose stream broke off got events twice, or text that is no event of the stream, when the next upstream answered 200 with an event stream that does not go on after the last event. The response ended as complete. The same held for a caller that sent Last-Event-Id itself.

The gateway forwarded every whole event of a continuation unseen.

event_splitter now holds back an event of a continuation, with all that follows, unless its id follows the last one: higher if that is a number, different otherwise. Comments and retry times pass. The gateway treats such an answer as a broken one: it tries another upstream if one may continue, and otherwise breaks the response off.

--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -253,6 +253,12 @@
     const serving::chosen_upstream& target, http::response_stream& stream)
 {
     is_event_stream_ = is_event_stream(stream.head());
+    if (is_resumable_stream())
+    {
+        event_splitter_.begin_continuation(
+            event_splitter_.last_id().empty() ? request_.call.last_event_id
+                                              : event_splitter_.last_id());
+    }
     co_await begin_response(stream.head());
     forwarded_body_bytes_ = 0;
     record_.incomplete_event_bytes = 0;
@@ -278,6 +284,12 @@
             is_resumable_stream() && may_retry()
                 ? std::min(request_.time_left(), event_time_left)
                 : request_.time_left();
+        if (event_splitter_.is_misplaced())
+        {
+            failure_detail_ =
+                "event does not follow event id " + event_splitter_.last_id();
+            co_return handle_broken_response(target);
+        }
         if (event_splitter_.partial().size() > max_event_bytes)
         {
             failure_detail_ =
--- a/src/serving/event_splitter.hpp
+++ b/src/serving/event_splitter.hpp
@@ -13,12 +13,26 @@
 {
 public:
     /// Appends the next bytes of the stream.
-    /// @return the events that are now complete; the rest stays buffered
+    /// @return the events that are now complete; the rest stays buffered. In a
+    /// continuation, an event that does not follow the last one, and all bytes
+    /// after it, stay buffered too.
     /// Complexity: linear in the buffered and the new bytes.
     [[nodiscard]] std::string feed(std::string_view bytes);
 
+    /// Expects that the next bytes continue a stream after the event
+    /// `resume_after`. Does nothing if it is empty.
+    void begin_continuation(std::string_view resume_after);
+
     /// Discards a buffered event that will not be completed.
-    void drop_partial() noexcept { partial_.clear(); }
+    void drop_partial() noexcept
+    {
+        partial_.clear();
+        is_misplaced_ = false;
+    }
+
+    /// Returns whether the first buffered event does not follow the last one of
+    /// the stream that it should continue.
+    [[nodiscard]] bool is_misplaced() const noexcept { return is_misplaced_; }
 
     /// Returns the buffered bytes; empty after the end of an intact stream.
     [[nodiscard]] const std::string& partial() const noexcept
@@ -32,8 +46,11 @@
     }
 
 private:
-    void record_ids(std::string_view events);
+    /// Whether a complete event may be forwarded after those before it.
+    [[nodiscard]] bool follows(std::string_view event) const;
 
+    bool is_continuation_ = false;
+    bool is_misplaced_ = false;
     std::string partial_;
     std::string last_id_;
 };
--- a/src/serving/test/event_splitter_test.cpp
+++ b/src/serving/test/event_splitter_test.cpp
@@ -42,6 +42,42 @@
     EXPECT_EQ(splitter.last_id(), "9");
 }
 
+TEST(event_splitter, continuation_with_a_later_id_is_returned)
+{
+    event_splitter splitter;
+    splitter.begin_continuation("9");
+    const std::string stream = ": begun\n\nretry: 5\r\n\r\n" + event_text(10);
+    EXPECT_EQ(splitter.feed(stream), stream);
+    EXPECT_FALSE(splitter.is_misplaced());
+    EXPECT_EQ(splitter.last_id(), "10");
+}
+
+TEST(event_splitter, continuation_without_a_later_id_is_held_back)
+{
+    for (const std::string& event :
+         {event_text(9), event_text(8), event_text(-10),
+          std::string("id: x\ndata: x\n\n"), std::string("id:\ndata: x\n\n"),
+          std::string("data: x\n\n"), std::string("no memory\n\n")})
+    {
+        SCOPED_TRACE(event);
+        event_splitter splitter;
+        splitter.begin_continuation("9");
+        EXPECT_EQ(splitter.feed(": begun\n\n" + event), ": begun\n\n");
+        EXPECT_TRUE(splitter.is_misplaced());
+        EXPECT_EQ(splitter.last_id(), "9");
+        splitter.drop_partial();
+        EXPECT_FALSE(splitter.is_misplaced());
+    }
+}
+
+TEST(event_splitter, repeated_text_id_of_a_continuation_is_held_back)
+{
+    event_splitter splitter;
+    splitter.begin_continuation("a");
+    EXPECT_EQ(splitter.feed("id: a\ndata: x\n\n"), "");
+    EXPECT_TRUE(splitter.is_misplaced());
+}
+
 RC_GTEST_PROP(
     event_splitter, stream_split_anywhere_yields_same_bytes,
     (const std::vector<std::uint8_t>& chunk_sizes))
