Continue a stream only after an event with an id

A caller of a resumable route whose stream has events without ids got them again from the next upstream when the stream broke off, and the response ended as complete.

The gateway continued each event stream after the last id that it had seen; without one, the next upstream begins anew.

A stream now counts as resumable only while the last forwarded event has an id, or nothing was forwarded. Otherwise it is broken off, and the limit for gaps between events of resumable streams does not apply.

--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -150,7 +150,8 @@
 bool request_handler::is_resumable_stream() const
 {
     return request_.route->kind == serving::route_kind::streaming &&
-           request_.route->resumable && is_event_stream_;
+           request_.route->resumable && is_event_stream_ &&
+           event_splitter_.is_resumable();
 }
 
 asio::awaitable<void> request_handler::forward_chunk(std::string_view chunk)
--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -128,7 +128,15 @@
             is_misplaced_ = true;
             break;
         }
-        last_id_ = id_of(event).value_or(last_id_);
+        if (auto id = id_of(event))
+        {
+            last_id_ = *std::move(id);
+            is_resumable_ = !last_id_.empty();
+        }
+        else if (!is_without_content(event))
+        {
+            is_resumable_ = false;
+        }
         remaining.remove_prefix(size);
     }
     const std::size_t end = partial_.size() - remaining.size();
--- a/src/serving/event_splitter.hpp
+++ b/src/serving/event_splitter.hpp
@@ -34,6 +34,10 @@
     /// the stream that it should continue.
     [[nodiscard]] bool is_misplaced() const noexcept { return is_misplaced_; }
 
+    /// Returns whether the last id names the position after all events that
+    /// were returned, so that another upstream can continue there.
+    [[nodiscard]] bool is_resumable() const noexcept { return is_resumable_; }
+
     /// Returns the buffered bytes; empty after the end of an intact stream.
     [[nodiscard]] const std::string& partial() const noexcept
     {
@@ -51,6 +55,7 @@
 
     bool is_continuation_ = false;
     bool is_misplaced_ = false;
+    bool is_resumable_ = true;
     std::string partial_;
     std::string last_id_;
 };
--- a/src/serving/test/event_splitter_test.cpp
+++ b/src/serving/test/event_splitter_test.cpp
@@ -78,6 +78,20 @@
     EXPECT_TRUE(splitter.is_misplaced());
 }
 
+TEST(event_splitter, stream_is_resumable_only_after_an_event_with_an_id)
+{
+    event_splitter splitter;
+    EXPECT_TRUE(splitter.is_resumable());
+    (void)splitter.feed(": begun\n\n");
+    EXPECT_TRUE(splitter.is_resumable());
+    (void)splitter.feed("data: x\n\n");
+    EXPECT_FALSE(splitter.is_resumable());
+    (void)splitter.feed(event_text(2));
+    EXPECT_TRUE(splitter.is_resumable());
+    (void)splitter.feed("id:\ndata: x\n\n");
+    EXPECT_FALSE(splitter.is_resumable());
+}
+
 RC_GTEST_PROP(
     event_splitter, stream_split_anywhere_yields_same_bytes,
     (const std::vector<std::uint8_t>& chunk_sizes))
