--- a/src/gateway/request_handler_streams.cpp
+++ b/src/gateway/request_handler_streams.cpp
@@ -11,7 +11,8 @@
 
 bool request_handler::is_resumable_stream() const
 {
-    return request_.route->is_resumable_stream() && is_event_stream_;
+    return request_.route->is_resumable_stream() && is_event_stream_ &&
+           event_splitter_.is_resumable();
 }
 
 bool request_handler::is_resumption() const
