--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -89,6 +89,11 @@
     void record_stream_end();
     [[nodiscard]] serving::choice choose_among_versions(
         serving::upstream_query query);
+    /// Begins the response, or continues it with another upstream's body.
+    asio::awaitable<void> begin_body(const http::response_stream& stream);
+    /// Returns whether the events received so far may be forwarded. Otherwise
+    /// sets `failure_detail_`.
+    [[nodiscard]] bool are_events_valid();
     asio::awaitable<next_step> forward_response(
         const serving::chosen_upstream& target, http::response_stream& stream);
     /// Returns nullopt and sets the result code if there is none.
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -248,8 +248,8 @@
                                                 : next_step::give_up;
 }
 
-asio::awaitable<request_handler::next_step> request_handler::forward_response(
-    const serving::chosen_upstream& target, http::response_stream& stream)
+asio::awaitable<void> request_handler::begin_body(
+    const http::response_stream& stream)
 {
     is_event_stream_ = is_event_stream(stream.head());
     if (is_resumable_stream())
@@ -265,6 +265,29 @@
     state_.metrics.count(
         "wagtail_upstream_responses_total", "framing",
         http::name(stream.framing()));
+}
+
+bool request_handler::are_events_valid()
+{
+    if (event_splitter_.is_misplaced())
+    {
+        failure_detail_ =
+            "event does not follow event id " + event_splitter_.last_id();
+        return false;
+    }
+    if (event_splitter_.partial().size() > max_event_bytes)
+    {
+        failure_detail_ =
+            "event of over " + std::to_string(max_event_bytes) + " bytes";
+        return false;
+    }
+    return true;
+}
+
+asio::awaitable<request_handler::next_step> request_handler::forward_response(
+    const serving::chosen_upstream& target, http::response_stream& stream)
+{
+    co_await begin_body(stream);
     auto last_progress = monotonic_clock::now();
     std::string last_event = event_splitter_.last_id();
     while (!caller_disconnected_)
@@ -283,16 +306,8 @@
             is_resumable_stream() && may_retry()
                 ? std::min(request_.time_left(), event_time_left)
                 : request_.time_left();
-        if (event_splitter_.is_misplaced())
-        {
-            failure_detail_ =
-                "event does not follow event id " + event_splitter_.last_id();
-            co_return handle_broken_response(target);
-        }
-        if (event_splitter_.partial().size() > max_event_bytes)
+        if (!are_events_valid())
         {
-            failure_detail_ =
-                "event of over " + std::to_string(max_event_bytes) + " bytes";
             co_return handle_broken_response(target);
         }
         const auto chunk = co_await stream.read(limit);
