Compute due regimes, the resume position and the required version in one place each

Found by reading the whole change again; no behaviour changes.

- The regimes to write were computed by two loops: due_regimes() serves both.
- The id after which a stream resumes was written out twice: resume_position().
- choose_among_versions() wrapped the choice of an upstream where only the query differs; the query now takes required_software().
- The announcements of a model were looked up twice for one query.
- A co_await in the condition of an if is named first, as DEVELOPERS.md asks.

--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -184,8 +184,7 @@
     const auto announced = state.weight_announcements.find(model);
     if (announced != state.weight_announcements.end())
     {
-        query.wanted_version =
-            state.newest_weights(model).value_or(weight_version{});
+        query.wanted_version = announced->second.newest()->version;
         query.min_version = announced->second.newest_older_than(
             state.settings.bounds.weight_rollout_deadline -
                 weight_rollout_margin,
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -230,7 +230,9 @@
     auto query = make_upstream_query(
         state_, request_, tried_upstreams_, record_.executions == 0);
     query.restricted = state_.statements.restricted();
-    auto selection = choose_among_versions(query);
+    query.software = required_software();
+    auto selection =
+        state_.upstreams.choose(query, state_.random, monotonic_clock::now());
     if (auto* const chosen = std::get_if<serving::chosen_upstream>(&selection))
     {
         return std::move(*chosen);
@@ -513,10 +515,7 @@
     tried_upstreams_.insert(target.entry.id);
     record_.last_upstream = target.entry.id;
     record_.last_software = target.entry.software;
-    auto planned = plan_dispatch(
-        state_, request_, target,
-        event_splitter_.last_id().empty() ? request_.call.last_event_id
-                                          : event_splitter_.last_id());
+    auto planned = plan_dispatch(state_, request_, target, resume_position());
     record_.expected_wait = target.expected_wait;
     record_.dispatch = planned.summary;
     const auto options = make_open_options(target);
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -87,8 +87,12 @@
     asio::awaitable<void> record_stream_begin(
         const serving::chosen_upstream& target);
     void record_stream_end();
-    [[nodiscard]] serving::choice choose_among_versions(
-        serving::upstream_query query);
+    /// Returns the id of the last event that the caller has; empty if none.
+    [[nodiscard]] const std::string& resume_position() const;
+    /// Returns the only software version that may take the request; nullopt:
+    /// any.
+    [[nodiscard]] std::optional<serving::software_version> required_software()
+        const;
     /// Begins the response, or continues it with another upstream's body.
     asio::awaitable<void> begin_body(const http::response_stream& stream);
     /// Returns whether the events received so far may be forwarded. Otherwise
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -254,9 +254,7 @@
     is_event_stream_ = is_event_stream(stream.head());
     if (is_resumable_stream())
     {
-        event_splitter_.begin_continuation(
-            event_splitter_.last_id().empty() ? request_.call.last_event_id
-                                              : event_splitter_.last_id());
+        event_splitter_.begin_continuation(resume_position());
     }
     co_await begin_response(stream.head());
     forwarded_body_bytes_ = 0;
--- a/src/gateway/request_handler_streams.cpp
+++ b/src/gateway/request_handler_streams.cpp
@@ -119,31 +119,28 @@
     state_.streams.open.break_off(stream_id(), monotonic_clock::now());
 }
 
-serving::choice request_handler::choose_among_versions(
-    serving::upstream_query query)
+const std::string& request_handler::resume_position() const
+{
+    const auto& forwarded = event_splitter_.last_id();
+    return forwarded.empty() ? request_.call.last_event_id : forwarded;
+}
+
+std::optional<serving::software_version> request_handler::required_software()
+    const
 {
-    const auto choose = [this](const serving::upstream_query& restricted)
-    {
-        return state_.upstreams.choose(
-            restricted, state_.random, monotonic_clock::now());
-    };
     if (stream_origin_)
     {
-        query.software = stream_origin_->version;
-        return choose(query);
+        return stream_origin_->version;
     }
     if (!request_.route->is_resumable_stream())
     {
-        return choose(query);
-    }
-    query.software = state_.streams.begins_at(request_.service);
-    if (query.software &&
-        !state_.upstreams.serves_version(
-            request_.service, *query.software, monotonic_clock::now()))
-    {
-        query.software.reset();
+        return std::nullopt;
     }
-    return choose(query);
+    auto single = state_.streams.begins_at(request_.service);
+    const bool serves =
+        single && state_.upstreams.serves_version(
+                      request_.service, *single, monotonic_clock::now());
+    return serves ? single : std::nullopt;
 }
 
 } // namespace wagtailseam::gateway
--- a/src/gateway/stream_origin_sync.cpp
+++ b/src/gateway/stream_origin_sync.cpp
@@ -178,7 +178,7 @@
 asio::awaitable<result<stream_origin_sync::snapshot>>
 stream_origin_sync::read_snapshot()
 {
-    snapshot read{.read_at = monotonic_clock::now()};
+    snapshot read;
     for (std::uint64_t part = 0; part < stream_record_parts; ++part)
     {
         const auto rows = co_await row_store_.read_table(
@@ -419,7 +419,7 @@
         {
             (void)co_await read_regimes();
         }
-        if (is_regime_write_due())
+        if (!due_regimes().empty())
         {
             co_await write_due_regimes();
         }
@@ -458,13 +458,18 @@
     }
 }
 
-bool stream_origin_sync::is_regime_write_due() const
+stream_origin_sync::regime_map stream_origin_sync::due_regimes() const
 {
     const auto now = monotonic_clock::now();
-    return std::any_of(
-        state_.streams.regimes.begin(), state_.streams.regimes.end(),
-        [&](const auto& entry)
-        { return entry.second.due_write(now).has_value(); });
+    regime_map due;
+    for (const auto& [service, tracker] : state_.streams.regimes)
+    {
+        if (auto wanted = tracker.due_write(now))
+        {
+            due.emplace(service, std::move(*wanted));
+        }
+    }
+    return due;
 }
 
 asio::awaitable<bool> stream_origin_sync::read_regimes()
@@ -487,19 +492,13 @@
     co_await sleep_for(duration(static_cast<duration::rep>(
         state_.random.below(static_cast<std::uint64_t>(
             std::chrono::duration_cast<duration>(spread).count())))));
-    if (!co_await read_regimes())
+    const bool read = co_await read_regimes();
+    if (!read)
     {
         co_return;
     }
-    const auto now = monotonic_clock::now();
-    regime_map due;
-    for (const auto& [service, tracker] : state_.streams.regimes)
-    {
-        if (auto wanted = tracker.due_write(now))
-        {
-            due.emplace(service, std::move(*wanted));
-        }
-    }
+    // Another gateway may have written them meanwhile.
+    const auto due = due_regimes();
     for (const auto& [service, wanted] : due)
     {
         co_await write_regime(service, wanted);
--- a/src/gateway/stream_origin_sync.hpp
+++ b/src/gateway/stream_origin_sync.hpp
@@ -50,7 +50,6 @@
     {
         stream_origin::origin_map origins;
         regime_map regimes;
-        mono_time read_at;
     };
     /// A read that one or more lookups wait for.
     struct pending_read
@@ -94,7 +93,8 @@
     asio::awaitable<void> follow_regimes();
     /// Adds and removes trackers, and passes the listed versions to them.
     void update_trackers();
-    [[nodiscard]] bool is_regime_write_due() const;
+    /// Returns the regimes that have to be written.
+    [[nodiscard]] regime_map due_regimes() const;
     asio::awaitable<void> write_due_regimes();
     asio::awaitable<void> write_regime(
         serving::service_id service, stream_origin::version_regime wanted);
