Log closures of idle connections, delays of handlers, time to apply a configuration

An idle connection is now waited for with a timer of its own; as before, the connection is closed when the timer's handler runs.

--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -53,7 +53,9 @@
                                    .tcp_user_timeout = unacknowledged_timeout}),
       caller_server_(
           context.get_executor(),
-          {.listen = require_address(state_.settings.caller_listen, "callers")},
+          {.listen = require_address(state_.settings.caller_listen, "callers"),
+           .on_idle_closure = [this](const http::idle_closure& closure)
+           { record_idle_closure(closure); }},
           [this](http::exchange& exchange) -> asio::awaitable<void>
           {
               request_handler handler(state_, upstream_client_, exchange);
@@ -88,6 +90,15 @@
          .idle_timeout = limits.idle_timeout});
 }
 
+void app::record_idle_closure(const http::idle_closure& closure)
+{
+    state_.metrics.count("wagtail_idle_connections_closed_total");
+    telemetry::event("idle_connection_closed")
+        .with("idle_us", closure.idle.count())
+        .with("limit_us", closure.limit.count())
+        .with("unread_bytes", closure.unread_bytes);
+}
+
 bool app::is_ready() const
 {
     return !draining_ && state_.routes && state_.upstream_list_read;
--- a/src/gateway/app.hpp
+++ b/src/gateway/app.hpp
@@ -33,6 +33,7 @@
     asio::awaitable<void> serve_readiness(http::exchange& exchange);
     asio::awaitable<void> serve_metrics(http::exchange& exchange);
     asio::awaitable<void> finish_drain();
+    void record_idle_closure(const http::idle_closure& closure);
     [[nodiscard]] bool is_ready() const;
     void apply_server_limits();
 
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -41,6 +41,8 @@
 constexpr std::chrono::milliseconds max_resync_delay{100};
 /// Agents discard reports that are not renewed within 1.3 s.
 constexpr std::chrono::milliseconds prefill_report_interval{400};
+/// Handlers that start later than this after they were due are reported.
+constexpr std::chrono::milliseconds reported_handler_delay{100};
 constexpr std::chrono::milliseconds store_connect_timeout{300};
 /// The list loses running upstreams while the row store is unavailable. They
 /// are listed again within this time after the store recovers.
@@ -216,7 +218,9 @@
 {
     for (;;)
     {
+        const auto due = monotonic_clock::now() + prefill_report_interval;
         co_await sleep_for(prefill_report_interval);
+        record_handler_delay(monotonic_clock::now() - due);
         for (const auto& id : state_.upstreams.upstreams_with_own_prefill())
         {
             send_prefill_report(id);
@@ -224,6 +228,16 @@
     }
 }
 
+void state_updater::record_handler_delay(duration delay)
+{
+    state_.metrics.observe_duration(
+        "wagtail_handler_delay_seconds", "process", "gateway", delay);
+    if (delay > reported_handler_delay)
+    {
+        telemetry::event("handlers_delayed").with("delay_us", delay.count());
+    }
+}
+
 void state_updater::handle_store_update(std::string_view datagram)
 {
     const auto update = cache_relay::decode(datagram);
@@ -270,14 +284,15 @@
 
 void state_updater::apply_operator_rows(const platform::row_set& rows)
 {
-    state_.operator_table_read_at = monotonic_clock::now();
+    const auto begun = monotonic_clock::now();
+    state_.operator_table_read_at = begun;
     for (auto& document : platform::decode_operator_rows(rows))
     {
         std::visit(
             overloaded{
                 [](std::monostate) {},
-                [this](serving::configuration& next)
-                { apply_configuration(std::move(next)); },
+                [this, begun](serving::configuration& next)
+                { apply_configuration(std::move(next), begun); },
                 [this](serving::weight_target& target)
                 { apply_weight_target(target); }},
             document);
@@ -285,17 +300,13 @@
     awaiting_first_operator_read_ = false;
 }
 
-void state_updater::apply_configuration(serving::configuration received)
+void state_updater::apply_configuration(
+    serving::configuration received, mono_time received_at)
 {
     if (state_.routes && received.number <= state_.routes->config().number)
     {
         return;
     }
-    telemetry::event("configuration_in_force")
-        .with("number", received.number)
-        .with("routes", received.routes.size())
-        .with("workspaces", received.workspaces.size())
-        .with("stores", received.stores.size());
     state_.caches.set_stores(received.stores);
     std::erase_if(
         followed_stores_,
@@ -319,6 +330,14 @@
     state_.routes =
         std::make_shared<const serving::route_table>(std::move(received));
     on_new_configuration_();
+    const auto& config = state_.routes->config();
+    telemetry::event("configuration_in_force")
+        .with("number", config.number)
+        .with("routes", config.routes.size())
+        .with("workspaces", config.workspaces.size())
+        .with("stores", config.stores.size())
+        .with("idle_limit_us", config.limits.idle_timeout.count())
+        .with("took_us", (monotonic_clock::now() - received_at).count());
 }
 
 void state_updater::apply_weight_target(const serving::weight_target& received)
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -51,6 +51,8 @@
     void send_prefill_report(const upstream_id& id);
     asio::awaitable<void> renew_prefill_reports();
     void handle_store_update(std::string_view datagram);
+    /// @param delay from the time at which a handler was due to its start
+    void record_handler_delay(duration delay);
     void send_datagram(
         const std::string& datagram, const asio::ip::udp::endpoint& receiver);
     /// Polls a store for changes that relayed updates did not contain.
@@ -73,7 +75,9 @@
         std::vector<serving::upstream> listed, bool restored);
     /// Handles the processes that a change of the list shows to have ended.
     void handle_ended_processes(const std::vector<serving::upstream>& ended);
-    void apply_configuration(serving::configuration received);
+    /// @param received_at time at which decoding began
+    void apply_configuration(
+        serving::configuration received, mono_time received_at);
     void apply_weight_target(const serving::weight_target& received);
     /// Returns whether the list may lack upstreams that are running, because
     /// the row store was unavailable until recently.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -94,24 +94,33 @@
     asio::awaitable<void> session(tcp::socket socket);
     /// Serves one request. Returns whether the connection stays open.
     asio::awaitable<bool> serve_one(exchange::connection& conn);
+    /// Waits for the first byte of a request or the end of the connection.
+    /// Returns an error if neither came in time.
+    asio::awaitable<boost::system::error_code> wait_for_request(
+        exchange::connection& conn, duration limit);
+    void close_idle(
+        exchange::connection& conn, mono_time idle_since, duration limit);
     /// Reads one request into the parser.
     asio::awaitable<boost::system::error_code> receive(
         exchange::connection& conn,
         bhttp::request_parser<bhttp::string_body>& parser);
 };
 
-struct exchange::connection
+struct exchange::connection : std::enable_shared_from_this<connection>
 {
     connection(tcp::socket socket, server::state& server)
-        : stream(std::move(socket)), owner(server)
+        : stream(std::move(socket)), idle_timer(stream.get_executor()),
+          owner(server)
     {
     }
 
     beast::tcp_stream stream;
+    asio::steady_timer idle_timer;
     beast::flat_buffer buffer;
     server::state& owner;
     bool keep_alive = true;
     bool in_exchange = false;
+    bool waits_for_request = false;
     /// This server has shut down the receiving side, so that its end says
     /// nothing about the caller.
     bool receive_shut_down = false;
@@ -299,14 +308,54 @@
 asio::awaitable<void> server::state::session(tcp::socket socket)
 {
     const auto self = shared_from_this();
-    exchange::connection conn(std::move(socket), *this);
-    connections.insert(&conn);
-    while (co_await serve_one(conn))
+    const auto conn =
+        std::make_shared<exchange::connection>(std::move(socket), *this);
+    connections.insert(conn.get());
+    while (co_await serve_one(*conn))
     {
     }
-    connections.erase(&conn);
+    connections.erase(conn.get());
     boost::system::error_code ignored;
-    conn.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    conn->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+asio::awaitable<boost::system::error_code> server::state::wait_for_request(
+    exchange::connection& conn, duration limit)
+{
+    conn.waits_for_request = true;
+    const auto idle_since = monotonic_clock::now();
+    conn.idle_timer.expires_after(limit);
+    conn.idle_timer.async_wait(
+        [this, weak_conn = conn.weak_from_this(), limit,
+         idle_since](boost::system::error_code timer_error)
+        {
+            const auto idle = weak_conn.lock();
+            // The wait may have ended after this handler was queued.
+            if (!timer_error && idle && idle->waits_for_request)
+            {
+                close_idle(*idle, idle_since, limit);
+            }
+        });
+    const auto [error] = co_await conn.stream.socket().async_wait(
+        tcp::socket::wait_read, completion);
+    conn.waits_for_request = false;
+    conn.idle_timer.cancel();
+    co_return error;
+}
+
+void server::state::close_idle(
+    exchange::connection& conn, mono_time idle_since, duration limit)
+{
+    boost::system::error_code ignored;
+    const idle_closure closure{
+        .idle = monotonic_clock::now() - idle_since,
+        .limit = limit,
+        .unread_bytes = conn.stream.socket().available(ignored)};
+    conn.stream.close();
+    if (options.on_idle_closure)
+    {
+        options.on_idle_closure(closure);
+    }
 }
 
 asio::awaitable<boost::system::error_code> server::state::receive(
@@ -319,6 +368,12 @@
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     if (conn.buffer.size() == 0)
     {
+        const auto wait_error =
+            co_await wait_for_request(conn, limits.idle_timeout);
+        if (wait_error)
+        {
+            co_return wait_error;
+        }
         conn.stream.expires_after(limits.idle_timeout);
         const auto [error, size] = co_await conn.stream.async_read_some(
             conn.buffer.prepare(first_read_bytes), completion);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -98,11 +98,24 @@
     duration idle_timeout = std::chrono::seconds(75);
 };
 
+/// A connection that the server closed because no request arrived in time.
+struct idle_closure
+{
+    /// Time since the connection became idle. Exceeds the limit if the process
+    /// was not able to run the handler of the timer.
+    duration idle;
+    duration limit;
+    /// Bytes that had arrived and were not read.
+    std::size_t unread_bytes = 0;
+};
+
 struct server_options
 {
     /// Address to listen on; port 0 selects a free port.
     address listen;
     server_limits limits;
+    /// Called after an idle connection was closed; may be empty.
+    std::function<void(const idle_closure&)> on_idle_closure;
     std::size_t max_connections = 20'000;
     /// A connection is closed when a write does not complete in this time.
     duration write_timeout = std::chrono::seconds(30);
