--- a/cmake/slices.cmake
+++ b/cmake/slices.cmake
@@ -1,9 +1,11 @@
-# wagtail_slice(NAME [DEPENDS other slices or libraries ...])
+# wagtail_slice(NAME [DEPENDS other slices or libraries ...]
+#     [SEPARATE_TESTS features ...])
 #
 # Makes library wagtail_<NAME> of src/<NAME>/**.cpp and, when there is a
-# folder src/<NAME>/test, the test program test_<NAME> of its *_test.cpp.
+# folder src/<NAME>/test, the test program test_<NAME> of its *_test.cpp. Each
+# feature of SEPARATE_TESTS gets a program test_<feature> of its own.
 function(wagtail_slice name)
-    cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
+    cmake_parse_arguments(arg "" "" "DEPENDS;SEPARATE_TESTS" ${ARGN})
     set(dir ${PROJECT_SOURCE_DIR}/src/${name})
     file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${dir}/*.cpp ${dir}/*.cc)
     list(FILTER sources EXCLUDE REGEX "/test/")
@@ -19,6 +21,14 @@
         endif()
     endforeach()
     file(GLOB tests CONFIGURE_DEPENDS ${dir}/test/*_test.cpp)
+    foreach(feature IN LISTS arg_SEPARATE_TESTS)
+        set(separate_test ${dir}/test/${feature}_test.cpp)
+        list(REMOVE_ITEM tests ${separate_test})
+        if(WAGTAIL_TESTS)
+            wagtail_test(test_${feature}
+                SOURCES ${separate_test} DEPENDS wagtail_${name})
+        endif()
+    endforeach()
     if(tests AND WAGTAIL_TESTS)
         wagtail_test(test_${name} SOURCES ${tests} DEPENDS wagtail_${name})
     endif()
