Apply a longer idle limit to connections that are idle already

Callers use a connection again after up to four fifths of the limit in force. When the limit has ended, the wait goes on up to the limit of now. A shorter limit applies from the next wait on.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -393,9 +393,16 @@
     exchange::connection& conn)
 {
     const auto idle_since = monotonic_clock::now();
-    const duration limit = options.limits.idle_timeout;
-    const auto error = co_await wait_readable(
-        conn, idle_since + limit + options.late_arrival_allowance);
+    duration limit{};
+    boost::system::error_code error;
+    do
+    {
+        limit = options.limits.idle_timeout;
+        error = co_await wait_readable(
+            conn, idle_since + limit + options.late_arrival_allowance);
+        // A longer limit may have come into force.
+    } while (error == beast::error::timeout &&
+             options.limits.idle_timeout > limit);
     if (error == beast::error::timeout && options.on_idle_closure)
     {
         boost::system::error_code ignored;
--- a/src/http/test/idle_connection_test.cpp
+++ b/src/http/test/idle_connection_test.cpp
@@ -142,5 +142,19 @@
     EXPECT_TRUE(receive().starts_with("HTTP/1.1 200"));
 }
 
+// Callers follow a longer limit as soon as it is in force, on connections that
+// are idle already too.
+TEST_F(
+    idle_connection_fixture,
+    request_within_a_limit_raised_while_the_connection_was_idle_is_answered)
+{
+    limits_.idle_timeout = std::chrono::seconds(10);
+    server_.set_limits(limits_);
+    asio::steady_timer caller_pause(context_, idle_limit + allowance * 2);
+    caller_pause.async_wait([this](boost::system::error_code)
+                            { send(request_text); });
+    EXPECT_TRUE(receive().starts_with("HTTP/1.1 200"));
+}
+
 } // namespace
 } // namespace wagtailseam::http
