Give each request a response before a stopped gateway ends

Report of other operators: in a planned stop of one gateway, requests that came late in the grace were passed on and cut at its end without an answer, filings among them. It happens here: planned_stop_test, before: RemoteDisconnected for a filing that was sent 2 s after SIGTERM and not finished 0.5 s before the end of a grace of 5 s; BrokenPipe for a request on a kept connection after 3.1 s, since idle connections were closed after 2.6 s.

Cause: at the end of the grace the io_context stopped with requests in progress, and nothing bounded what a late request was given by what was left.

Now the deadline of a request that arrives during the drain ends before the grace; after the load balancer's removal time requests are refused as not run while connections stay open for one more second; before the forced termination unfinished requests are cancelled, so that their handlers respond. An attempt that the process ended is not taken for a crash of its upstream.

--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace wagtailseam::gateway
@@ -23,9 +24,14 @@
 /// two failed checks.
 constexpr std::chrono::milliseconds balancer_removal_time{2600};
 constexpr std::chrono::milliseconds drain_poll_interval{50};
-/// Time left between the end of draining and the forced termination of the
-/// process.
-constexpr std::chrono::milliseconds shutdown_margin{500};
+/// After new requests are refused, connections stay open for this time, since
+/// requests are still on their way.
+constexpr std::chrono::milliseconds late_request_time{1000};
+/// Unfinished requests get their final response this time before the forced
+/// termination of the process.
+constexpr std::chrono::milliseconds response_margin{500};
+/// The process ends this time before its forced termination.
+constexpr std::chrono::milliseconds exit_margin{150};
 constexpr std::chrono::milliseconds unacknowledged_timeout{1500};
 constexpr std::chrono::seconds max_idle_time{4};
 constexpr std::size_t max_idle_connections = 16;
@@ -148,9 +154,12 @@
 {
     telemetry::event("draining")
         .with("active", caller_server_.active_exchanges());
+    const auto now = monotonic_clock::now();
+    const auto grace = state_.settings.bounds.shutdown_grace;
     draining_ = true;
+    state_.drain.begin(now + grace - response_margin);
     caller_server_.disable_keep_alive();
-    asio::co_spawn(context_, finish_drain(), asio::detached);
+    asio::co_spawn(context_, finish_drain(now + grace), asio::detached);
 }
 
 void app::reload(const platform::process_settings& changed)
@@ -159,22 +168,34 @@
     telemetry::event("settings_reloaded").with("vm", state_.settings.vm);
 }
 
-asio::awaitable<void> app::finish_drain()
+asio::awaitable<void> app::finish_drain(mono_time termination)
 {
-    const auto started_at = monotonic_clock::now();
-    const auto drain_deadline =
-        started_at + state_.settings.bounds.shutdown_grace - shutdown_margin;
-    asio::steady_timer timer(context_, balancer_removal_time);
-    co_await timer.async_wait(completion);
-    caller_server_.stop_accepting();
-    while (caller_server_.active_exchanges() > 0 &&
-           monotonic_clock::now() < drain_deadline)
+    const auto response_deadline = termination - response_margin;
+    const auto wait_for = [this](duration limit) -> asio::awaitable<void>
     {
-        timer.expires_after(drain_poll_interval);
+        asio::steady_timer timer(context_, limit);
         co_await timer.async_wait(completion);
-    }
-    telemetry::event("stopped").with(
-        "unfinished", caller_server_.active_exchanges());
+    };
+    const auto wait_for_end = [&](mono_time deadline) -> asio::awaitable<void>
+    {
+        while (caller_server_.active_exchanges() > 0 &&
+               monotonic_clock::now() < deadline)
+        {
+            co_await wait_for(drain_poll_interval);
+        }
+    };
+    co_await wait_for(std::min<duration>(
+        balancer_removal_time, response_deadline - monotonic_clock::now()));
+    state_.drain.refuse_requests();
+    co_await wait_for(std::min<duration>(
+        late_request_time, response_deadline - monotonic_clock::now()));
+    caller_server_.stop_accepting();
+    co_await wait_for_end(response_deadline);
+    const auto ended = state_.drain.end_requests();
+    co_await wait_for_end(termination - exit_margin);
+    telemetry::event("stopped")
+        .with("ended", ended)
+        .with("unfinished", caller_server_.active_exchanges());
     context_.stop();
 }
 
--- a/src/gateway/app.hpp
+++ b/src/gateway/app.hpp
@@ -32,7 +32,8 @@
 private:
     asio::awaitable<void> serve_readiness(http::exchange& exchange);
     asio::awaitable<void> serve_metrics(http::exchange& exchange);
-    asio::awaitable<void> finish_drain();
+    /// @param termination when the process is terminated by force
+    asio::awaitable<void> finish_drain(mono_time termination);
     void record_idle_closure(const http::idle_closure& closure);
     [[nodiscard]] bool is_ready() const;
     void apply_server_limits();
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -95,6 +95,8 @@
                 cancellation_handle_->cancel();
             }
         });
+    const drain_state::registration registration(
+        state_.drain, [this] { end_for_drain(); });
     state_.retry_budget_for(request_.service).on_request();
     bool may_run = true;
     if (is_resumption())
@@ -115,6 +117,19 @@
     end_trial();
 }
 
+void request_handler::end_for_drain()
+{
+    ended_by_drain_ = true;
+    request_.deadline = std::min(request_.deadline, monotonic_clock::now());
+    telemetry::event("request_ended_by_drain")
+        .with("request", request_.call.id)
+        .with("runs", record_.executions);
+    if (cancellation_handle_)
+    {
+        cancellation_handle_->cancel();
+    }
+}
+
 result<void> request_handler::accept_request()
 {
     auto decoded = platform::decode_call(exchange_.release_request());
@@ -123,6 +138,10 @@
         return boost::outcome_v2::failure(decoded.error());
     }
     request_.call = std::move(decoded).value();
+    if (state_.drain.refuses_requests())
+    {
+        return fail(result_code::draining);
+    }
     request_.routes = state_.routes;
     if (!request_.routes)
     {
@@ -155,6 +174,10 @@
     request_.deadline =
         request_.received +
         std::min(request_.call.time_left, request_.route->timeout);
+    if (const auto drain_deadline = state_.drain.response_deadline())
+    {
+        request_.deadline = std::min(request_.deadline, *drain_deadline);
+    }
     return boost::outcome_v2::success();
 }
 
@@ -339,7 +362,8 @@
 asio::awaitable<void> request_handler::report_broken_attempt()
 {
     const auto broken = std::exchange(broken_attempt_, std::nullopt);
-    if (!broken)
+    // An attempt that this process ended says nothing about the upstream.
+    if (!broken || ended_by_drain_)
     {
         co_return;
     }
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -43,6 +43,8 @@
     };
 
     [[nodiscard]] result<void> accept_request();
+    /// Cancels the attempt, so that the caller gets its final response.
+    void end_for_drain();
     [[nodiscard]] result<void> resolve_route();
     asio::awaitable<void> run_attempts();
     asio::awaitable<next_step> run_attempt(serving::chosen_upstream target);
@@ -165,6 +167,8 @@
     /// Whether this request holds the claim of its trial.
     bool trial_claimed_ = false;
     bool caller_disconnected_ = false;
+    /// Whether this process stops before the attempt is finished.
+    bool ended_by_drain_ = false;
     bool response_head_sent_ = false;
     mono_time attempt_began_at_;
     /// When the current attempt times out if the response has not begun.
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -5,6 +5,7 @@
 
 #include "core/random_source.hpp"
 #include "gateway/crash_registry.hpp"
+#include "gateway/drain_state.hpp"
 #include "gateway/statement_registry.hpp"
 #include "gateway/stream_origins.hpp"
 #include "platform/settings_file.hpp"
@@ -54,6 +55,7 @@
     /// When the operator's table was last read, or reported as unchanged.
     mono_time operator_table_read_at;
     crash_registry crashes;
+    drain_state drain;
     stream_origins streams;
     /// Claims the only trial of a suspect request among all gateways. Returns
     /// whether this gateway may run it.
