Let registrations of requests outlive the drain state

The io_context destroys pending coroutines after the state of the gateway; a registration then erased itself from a list that was gone. Seen as a crash of test_platform (served_request_fixture), not in a running process, which ends without destroying them.

--- a/src/gateway/drain_state.cpp
+++ b/src/gateway/drain_state.cpp
@@ -7,15 +7,15 @@
 {
 
 drain_state::registration::registration(
-    drain_state& owner, std::function<void()> end)
-    : owner_(owner),
-      position_(owner.requests_.insert(owner.requests_.end(), std::move(end)))
+    const drain_state& owner, std::function<void()> end)
+    : registered_(owner.requests_),
+      position_(registered_->insert(registered_->end(), std::move(end)))
 {
 }
 
 drain_state::registration::~registration()
 {
-    owner_.requests_.erase(position_);
+    registered_->erase(position_);
 }
 
 void drain_state::begin(mono_time response_deadline)
@@ -25,7 +25,7 @@
 
 std::size_t drain_state::end_requests()
 {
-    for (auto& end : requests_)
+    for (auto& end : *requests_)
     {
         // A request stays registered until its coroutine has ended.
         if (const auto call = std::exchange(end, nullptr))
@@ -33,7 +33,7 @@
             call();
         }
     }
-    return requests_.size();
+    return requests_->size();
 }
 
 } // namespace wagtailseam::gateway
--- a/src/gateway/drain_state.hpp
+++ b/src/gateway/drain_state.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <list>
+#include <memory>
 #include <optional>
 
 namespace wagtailseam::gateway
@@ -17,20 +18,22 @@
 class drain_state
 {
 public:
-    /// Keeps a request registered until it is destroyed. Must not outlive the
-    /// drain_state.
+    using end_callbacks = std::list<std::function<void()>>;
+
+    /// Keeps a request registered until it is destroyed. May outlive the
+    /// drain_state: the io_context destroys coroutines last.
     class registration
     {
     public:
         /// @param end called at most once, to make the request end soon
-        registration(drain_state& owner, std::function<void()> end);
+        registration(const drain_state& owner, std::function<void()> end);
         ~registration();
         registration(const registration&) = delete;
         registration& operator=(const registration&) = delete;
 
     private:
-        drain_state& owner_;
-        std::list<std::function<void()>>::iterator position_;
+        std::shared_ptr<end_callbacks> registered_;
+        end_callbacks::iterator position_;
     };
 
     /// @param response_deadline when unfinished requests get their final
@@ -53,7 +56,8 @@
     }
 
 private:
-    std::list<std::function<void()>> requests_;
+    std::shared_ptr<end_callbacks> requests_ =
+        std::make_shared<end_callbacks>();
     std::optional<mono_time> response_deadline_;
     bool refuses_requests_ = false;
 };
