--- a/src/http/endpoint.cpp
+++ b/src/http/endpoint.cpp
@@ -10,9 +10,12 @@
 {
     const std::string& input = text.value();
     const auto colon = input.rfind(':');
-    if (colon == std::string::npos)
+    // make_address() reads up to the first NUL.
+    if (colon == std::string::npos || input.find('\0') != std::string::npos)
     {
-        return fail(result_code::out_of_range, "address has no port: " + input);
+        return fail(
+            result_code::out_of_range,
+            "address has no port or contains a NUL: " + input);
     }
     boost::system::error_code error;
     const auto host =
