Ignore the timer of an ended wait for bytes

Callers would see: a connection closed without an answer while they send a request, when its first part arrived as the time limit of the connection ended and the process was busy.

Cause: the handler of an expired timer that is queued already is not cancelled. The server reads the first part and begins the next wait of the connection; the handler of the earlier wait then finds a wait and nothing to read, and cancels it.

The handler now compares the expiry of the timer, which the next wait has moved, with the time. Ruled out: the limit of headers, of which 250 ms were left.

test_idle_connection before: [ FAILED ] ...header_that_begins_while_the_process_is_busy_is_read_to_its_end Value of: receive().starts_with("HTTP/1.1 200") Actual: false 5 passed, 1 failed After: 6 passed.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -369,7 +369,11 @@
              conn.weak_from_this()](boost::system::error_code timer_error)
         {
             const auto waiting = weak_conn.lock();
+            // A handler that was queued when its wait ended is not cancelled
+            // and runs within the next wait, whose timer expires later.
             if (timer_error || !waiting || !waiting->waits_for_bytes ||
+                waiting->read_timer.expiry() >
+                    asio::steady_timer::clock_type::now() ||
                 peek(waiting->stream.socket()) != socket_content::none)
             {
                 return;
--- a/src/http/test/idle_connection_test.cpp
+++ b/src/http/test/idle_connection_test.cpp
@@ -131,6 +131,22 @@
     EXPECT_TRUE(receive().starts_with("HTTP/1.1 200"));
 }
 
+// Guards against the handler of an ended wait that was queued when the next
+// wait of the connection began: it closed the connection within a header.
+TEST_F(
+    idle_connection_fixture,
+    header_that_begins_while_the_process_is_busy_is_read_to_its_end)
+{
+    const std::string_view text = request_text;
+    constexpr std::size_t first_part = 10;
+    send(text.substr(0, first_part));
+    std::this_thread::sleep_for(2 * idle_limit + allowance);
+    busy_.expires_after(link_delay);
+    busy_.async_wait([this, text](boost::system::error_code)
+                     { send(text.substr(first_part)); });
+    EXPECT_TRUE(receive().starts_with("HTTP/1.1 200"));
+}
+
 // Guards against LOST of 2026-12-05: callers use connections that were idle for
 // up to four fifths of the limit, and a slow link delayed such a request beyond
 // it.
