Apply the limits that are in force when a request begins

Callers would see: 431 or 413 for a request within the limits of the newest configuration, as the first request on a connection that was idle when the limits were raised. set_limits() promises the new limits for requests that begin afterwards.

They are now copied when the first byte has arrived. No other state is kept over the wait: the idle limit is read again.

test_idle_connection before: [ FAILED ] ...request_within_a_size_raised_while_the_connection_was_idle_is_answered Value of: receive().starts_with("HTTP/1.1 200") Actual: false 6 passed, 1 failed After: 7 passed.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -467,9 +467,6 @@
     exchange::connection& conn,
     bhttp::request_parser<bhttp::string_body>& parser)
 {
-    const server_limits limits = options.limits;
-    parser.body_limit(limits.max_body_bytes);
-    parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     if (conn.buffer.size() == 0)
     {
         const auto error = co_await wait_for_request(conn);
@@ -478,6 +475,10 @@
             co_return error;
         }
     }
+    // The limits may have changed while the connection was idle.
+    const server_limits limits = options.limits;
+    parser.body_limit(limits.max_body_bytes);
+    parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     const auto header_error = co_await parse_until(
         conn, parser,
         &bhttp::request_parser<bhttp::string_body>::is_header_done,
--- a/src/http/test/idle_connection_test.cpp
+++ b/src/http/test/idle_connection_test.cpp
@@ -172,5 +172,20 @@
     EXPECT_TRUE(receive().starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a request that is refused by a limit that was in force when
+// its connection became idle.
+TEST_F(
+    idle_connection_fixture,
+    request_within_a_size_raised_while_the_connection_was_idle_is_answered)
+{
+    const std::string long_request =
+        "GET / HTTP/1.1\r\nHost: h\r\nX-Long: " +
+        std::string(limits_.max_header_bytes, 'x') + "\r\n\r\n";
+    limits_.max_header_bytes *= 2;
+    server_.set_limits(limits_);
+    send(long_request);
+    EXPECT_TRUE(receive().starts_with("HTTP/1.1 200"));
+}
+
 } // namespace
 } // namespace wagtailseam::http
