--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -369,7 +369,11 @@
              conn.weak_from_this()](boost::system::error_code timer_error)
         {
             const auto waiting = weak_conn.lock();
+            // A handler that was queued when its wait ended is not cancelled
+            // and runs within the next wait, whose timer expires later.
             if (timer_error || !waiting || !waiting->waits_for_bytes ||
+                waiting->read_timer.expiry() >
+                    asio::steady_timer::clock_type::now() ||
                 peek(waiting->stream.socket()) != socket_content::none)
             {
                 return;
@@ -463,9 +467,6 @@
     exchange::connection& conn,
     bhttp::request_parser<bhttp::string_body>& parser)
 {
-    const server_limits limits = options.limits;
-    parser.body_limit(limits.max_body_bytes);
-    parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     if (conn.buffer.size() == 0)
     {
         const auto error = co_await wait_for_request(conn);
@@ -474,6 +475,10 @@
             co_return error;
         }
     }
+    // The limits may have changed while the connection was idle.
+    const server_limits limits = options.limits;
+    parser.body_limit(limits.max_body_bytes);
+    parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     const auto header_error = co_await parse_until(
         conn, parser,
         &bhttp::request_parser<bhttp::string_body>::is_header_done,
