End an attempt for silence only where another one starts

Cause: the attempt had a fixed limit (the route's target before the response, four agreed gaps between two events). Whether another attempt could follow was found out only after the connection was closed.

Fix: the connection stays open until the deadline. From the same limits on, every 100 ms, the gateway looks for another attempt: its kind and count allow it, no crash record restricts the request, an upstream can be chosen, the retry budget pays. Only then the attempt is ended, and the next one takes the upstream and the token that were reserved. A request on trial or under suspicion is not sent a second time for silence. Silence alone is still no crash: broken attempts are reported and attributed as before.

Remains: the next attempt may be refused by its upstream or fail to connect, and without a third upstream the caller still gets 502. The second attempt beside the first, which would close this, is not built.

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -29,11 +29,14 @@
 constexpr int upstream_wait_divisor = 8;
 /// A stream that has not begun after this multiple of its latency target is
 /// retried at another upstream. Callers disconnect at four times the target.
-constexpr int streaming_timeout_factor = 2;
-/// The response timeout is extended by this multiple of the expected queue
-/// wait, up to `max_timeout_factor` times the latency target.
+constexpr int streaming_silence_factor = 2;
+/// The silence limit is extended by this multiple of the expected queue wait,
+/// up to `max_silence_factor` times the latency target.
 constexpr int queue_wait_factor = 2;
-constexpr int max_timeout_factor = 4;
+constexpr int max_silence_factor = 4;
+/// How often it is checked whether another attempt may replace one whose
+/// upstream is silent.
+constexpr std::chrono::milliseconds silence_check_interval{100};
 /// A request is retried only if more than its latency target divided by this
 /// number is left.
 constexpr int min_retry_time_divisor = 4;
@@ -210,7 +213,12 @@
             // The caller left while the trial was claimed.
             continue;
         }
-        const auto target = choose_upstream();
+        const bool is_paid = next_upstream_.has_value();
+        auto target = std::exchange(next_upstream_, std::nullopt);
+        if (!is_paid)
+        {
+            target = choose_upstream();
+        }
         if (!target)
         {
             if (co_await wait_for_upstream())
@@ -224,7 +232,7 @@
             record_.code = result_code::queue_full;
             break;
         }
-        if (record_.dispatches > 0 &&
+        if (!is_paid && record_.dispatches > 0 &&
             !state_.retry_budget_for(request_.service)
                  .try_spend(retry::retry_cause::failure))
         {
@@ -248,14 +256,19 @@
     co_await send_final_error();
 }
 
-std::optional<serving::chosen_upstream> request_handler::choose_upstream()
+serving::choice request_handler::select_upstream()
 {
     auto query = make_upstream_query(
         state_, request_, tried_upstreams_, record_.executions == 0);
     query.restricted = state_.statements.restricted();
     query.software = required_software();
-    auto selection =
-        state_.upstreams.choose(query, state_.random, monotonic_clock::now());
+    return state_.upstreams.choose(
+        query, state_.random, monotonic_clock::now());
+}
+
+std::optional<serving::chosen_upstream> request_handler::choose_upstream()
+{
+    auto selection = select_upstream();
     if (auto* const chosen = std::get_if<serving::chosen_upstream>(&selection))
     {
         return std::move(*chosen);
@@ -415,37 +428,74 @@
     co_return true;
 }
 
-duration request_handler::response_timeout(
+duration request_handler::silence_limit(
     const serving::chosen_upstream& target) const
 {
-    const bool retry_possible =
-        request_.route->retryable() &&
-        record_.executions + 1 < request_.route->max_attempts &&
-        record_.dispatches + 1 < max_dispatches;
-    if (!retry_possible)
-    {
-        return request_.time_left();
-    }
     const int target_factor =
         request_.route->kind == serving::route_kind::streaming
-            ? streaming_timeout_factor
+            ? streaming_silence_factor
             : 1;
     // An engine does not respond before it has processed its queue.
     const duration limit = request_.route->latency_target * target_factor +
                            target.expected_wait * queue_wait_factor;
-    return std::min(
-        {request_.time_left(), limit,
-         request_.route->latency_target * max_timeout_factor});
+    return std::min<duration>(
+        limit, request_.route->latency_target * max_silence_factor);
 }
 
-http::open_options request_handler::make_open_options(
-    const serving::chosen_upstream& target)
+void request_handler::watch_silence(const std::shared_ptr<silence_watch>& watch)
+{
+    watch->timer.expires_after(std::max<duration>(
+        watch->due - monotonic_clock::now(), duration::zero()));
+    watch->timer.async_wait(
+        [this, watch](auto ec)
+        {
+            // The handler may outlive this object once the watch is stopped.
+            if (ec || watch->stopped || !may_retry())
+            {
+                return;
+            }
+            const auto now = monotonic_clock::now();
+            if (now >= watch->due)
+            {
+                if (reserve_next_attempt())
+                {
+                    cancellation_handle_->cancel();
+                    return;
+                }
+                watch->due = now + silence_check_interval;
+            }
+            watch_silence(watch);
+        });
+}
+
+bool request_handler::reserve_next_attempt()
+{
+    // A suspect may be refused its trial, and a request that is being tried
+    // does not run twice.
+    const bool is_unrestricted =
+        !state_.crashes.quarantine().has_records() ||
+        std::holds_alternative<quarantine::unrestricted>(
+            state_.crashes.check(request_.content()));
+    if (caller_disconnected_ || ended_by_drain_ || !is_unrestricted)
+    {
+        return false;
+    }
+    auto selection = select_upstream();
+    auto* const chosen = std::get_if<serving::chosen_upstream>(&selection);
+    if (chosen == nullptr || !state_.retry_budget_for(request_.service)
+                                  .try_spend(retry::retry_cause::failure))
+    {
+        return false;
+    }
+    next_upstream_ = std::move(*chosen);
+    return true;
+}
+
+http::open_options request_handler::make_open_options()
 {
     cancellation_handle_ = std::make_shared<http::cancellation_handle>();
-    const duration limit = response_timeout(target);
-    response_deadline_ = monotonic_clock::now() + limit;
     return http::open_options{
-        .timeout = limit,
+        .timeout = request_.time_left(),
         .connect_timeout =
             std::min<duration>(connect_timeout, request_.time_left()),
         .force_new_connection = !request_.route->retryable(),
@@ -542,12 +592,12 @@
     auto planned = plan_dispatch(state_, request_, target, resume_position());
     record_.expected_wait = target.expected_wait;
     record_.dispatch = planned.summary;
-    const auto options = make_open_options(target);
+    const auto options = make_open_options();
     begin_attempt(target, planned);
     // Other requests avoid an unresponsive upstream before this attempt ends.
     asio::steady_timer timeout_timer(
         co_await asio::this_coro::executor,
-        request_.route->latency_target * streaming_timeout_factor);
+        request_.route->latency_target * streaming_silence_factor);
     timeout_timer.async_wait(
         [&state = state_, id = target.entry.id](auto ec)
         {
@@ -557,13 +607,23 @@
                     id, serving::response_timed_out{}, monotonic_clock::now());
             }
         });
+    const silence_watch_scope silence(
+        co_await asio::this_coro::executor, silence_limit(target));
+    watch_silence(silence.watch());
     auto opened = co_await upstream_client_.open(
         target.entry.address, std::move(planned.message), options);
     timeout_timer.cancel();
+    silence.stop();
     if (!opened)
     {
         co_return handle_open_failure(target, opened.error());
     }
+    if (next_upstream_)
+    {
+        // The response head arrived while the connection was being closed.
+        const error closed(result_code::stream_broken, "silent");
+        co_return handle_open_failure(target, closed);
+    }
     co_return co_await handle_response(target, std::move(opened).value());
 }
 
@@ -586,9 +646,8 @@
         return next_step::retry;
     }
     failure_detail_ = failure.detail;
-    const auto now = monotonic_clock::now();
-    const bool deadline_passed = now >= request_.deadline;
-    const bool timed_out = deadline_passed || now >= response_deadline_;
+    const bool deadline_passed = monotonic_clock::now() >= request_.deadline;
+    const bool timed_out = deadline_passed || next_upstream_.has_value();
     end_attempt(
         target, timed_out
                     ? serving::attempt_result(serving::response_timed_out{})
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -11,6 +11,7 @@
 #include "serving/event_splitter.hpp"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <memory>
 #include <optional>
@@ -104,6 +105,7 @@
         const serving::chosen_upstream& target, http::response_stream& stream);
     /// Returns nullopt and sets the result code if there is none.
     [[nodiscard]] std::optional<serving::chosen_upstream> choose_upstream();
+    [[nodiscard]] serving::choice select_upstream();
     asio::awaitable<bool> wait_for_upstream();
     /// Returns whether the request may be sent to an upstream, as far as its
     /// deadline and its crash record are concerned. Otherwise sets the result
@@ -127,11 +129,60 @@
     /// Returns the time after which the caller should return.
     [[nodiscard]] duration retry_delay();
 
-    [[nodiscard]] http::open_options make_open_options(
-        const serving::chosen_upstream& target);
+    [[nodiscard]] http::open_options make_open_options();
     [[nodiscard]] bool may_retry() const;
-    [[nodiscard]] duration response_timeout(
+    /// Returns after which silence before the response another upstream is
+    /// preferred.
+    [[nodiscard]] duration silence_limit(
         const serving::chosen_upstream& target) const;
+    /// Observes the silence of the upstream of one attempt.
+    struct silence_watch
+    {
+        explicit silence_watch(const asio::any_io_executor& executor)
+            : timer(executor)
+        {
+        }
+
+        asio::steady_timer timer;
+        /// When the silence is long enough to prefer another upstream.
+        mono_time due;
+        bool stopped = false;
+    };
+    /// Stops its watch at the end of the scope, so that no handler uses the
+    /// request afterwards.
+    class silence_watch_scope
+    {
+    public:
+        silence_watch_scope(
+            const asio::any_io_executor& executor, duration limit)
+            : watch_(std::make_shared<silence_watch>(executor))
+        {
+            watch_->due = monotonic_clock::now() + limit;
+        }
+        silence_watch_scope(const silence_watch_scope&) = delete;
+        silence_watch_scope& operator=(const silence_watch_scope&) = delete;
+        ~silence_watch_scope() { stop(); }
+
+        [[nodiscard]] const std::shared_ptr<silence_watch>& watch()
+            const noexcept
+        {
+            return watch_;
+        }
+        void stop() const
+        {
+            watch_->stopped = true;
+            watch_->timer.cancel();
+        }
+
+    private:
+        std::shared_ptr<silence_watch> watch_;
+    };
+    /// Ends the attempt once the silence is long enough and another attempt is
+    /// certain to start. Until then its response is awaited.
+    void watch_silence(const std::shared_ptr<silence_watch>& watch);
+    /// Chooses the upstream of another attempt and pays for it, if nothing
+    /// prevents that attempt while the current one is in progress.
+    [[nodiscard]] bool reserve_next_attempt();
     void begin_attempt(
         const serving::chosen_upstream& target,
         const planned_dispatch& planned);
@@ -171,8 +222,9 @@
     bool ended_by_drain_ = false;
     bool response_head_sent_ = false;
     mono_time attempt_began_at_;
-    /// When the current attempt times out if the response has not begun.
-    mono_time response_deadline_;
+    /// The upstream of the next attempt, which the retry budget has paid for.
+    /// Set if the current attempt is ended for the silence of its upstream.
+    std::optional<serving::chosen_upstream> next_upstream_;
     struct pending_prompt
     {
         upstream_id upstream;
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -11,9 +11,10 @@
 
 /// Time to read the rest of a refusal, so that its connection can be reused.
 constexpr std::chrono::milliseconds refusal_body_timeout{120};
-/// A gap between events of this multiple of the maximum agreed gap ends the
-/// attempt of a stream. Callers disconnect at eight times the agreed gap.
-constexpr int event_gap_timeout_factor = 4;
+/// After a gap between events of this multiple of the maximum agreed gap
+/// another upstream continues a stream. Callers disconnect at eight times the
+/// agreed gap.
+constexpr int event_gap_silence_factor = 4;
 /// An event of a stream that is not complete after this number of bytes ends
 /// the attempt. Events contain a few tokens. The buffer of an event may be
 /// twice as large, and many upstreams may send such events at once.
@@ -286,7 +287,14 @@
     const serving::chosen_upstream& target, http::response_stream& stream)
 {
     co_await begin_body(stream);
-    auto last_progress = monotonic_clock::now();
+    const duration max_silence =
+        request_.route->max_event_gap * event_gap_silence_factor;
+    const silence_watch_scope silence(
+        co_await asio::this_coro::executor, max_silence);
+    if (is_resumable_stream())
+    {
+        watch_silence(silence.watch());
+    }
     std::string last_event = event_splitter_.last_id();
     while (!caller_disconnected_)
     {
@@ -294,21 +302,13 @@
         if (last_event != event_splitter_.last_id())
         {
             last_event = event_splitter_.last_id();
-            last_progress = monotonic_clock::now();
+            silence.watch()->due = monotonic_clock::now() + max_silence;
         }
-        const duration event_time_left =
-            last_progress +
-            request_.route->max_event_gap * event_gap_timeout_factor -
-            monotonic_clock::now();
-        const duration limit =
-            is_resumable_stream() && may_retry()
-                ? std::min(request_.time_left(), event_time_left)
-                : request_.time_left();
         if (!are_events_valid())
         {
             co_return handle_broken_response(target);
         }
-        const auto chunk = co_await stream.read(limit);
+        const auto chunk = co_await stream.read(request_.time_left());
         if (!chunk && caller_disconnected_)
         {
             break;
