--- a/src/http/test/idle_connection_test.cpp
+++ b/src/http/test/idle_connection_test.cpp
@@ -51,13 +51,18 @@
         asio::write(caller_, asio::buffer(text));
     }
 
+    void send_after(duration delay, std::string_view text)
+    {
+        caller_timer_.expires_after(delay);
+        caller_timer_.async_wait([this, text](boost::system::error_code)
+                                 { send(text); });
+    }
+
     /// Sends the text in a handler that is queued before those of the timers of
     /// the server, as if the process had been busy since then.
     void send_while_busy_until_after(duration limit, std::string_view text)
     {
-        busy_.expires_after(milliseconds(0));
-        busy_.async_wait([this, text](boost::system::error_code)
-                         { send(text); });
+        send_after(milliseconds(0), text);
         std::this_thread::sleep_for(limit + idle_limit);
     }
 
@@ -93,7 +98,7 @@
          { closures_.push_back(closure); }},
         [](exchange& served) { return serve(served); }};
     tcp::socket caller_{context_};
-    asio::steady_timer busy_{context_};
+    asio::steady_timer caller_timer_{context_};
 };
 
 TEST_F(
@@ -141,9 +146,7 @@
     constexpr std::size_t first_part = 10;
     send(text.substr(0, first_part));
     std::this_thread::sleep_for(2 * idle_limit + allowance);
-    busy_.expires_after(link_delay);
-    busy_.async_wait([this, text](boost::system::error_code)
-                     { send(text.substr(first_part)); });
+    send_after(link_delay, text.substr(first_part));
     EXPECT_TRUE(receive().starts_with("HTTP/1.1 200"));
 }
 
@@ -153,8 +156,7 @@
 TEST_F(
     idle_connection_fixture, request_delayed_beyond_the_idle_limit_is_answered)
 {
-    asio::steady_timer link(context_, link_delay);
-    link.async_wait([this](boost::system::error_code) { send(request_text); });
+    send_after(link_delay, request_text);
     EXPECT_TRUE(receive().starts_with("HTTP/1.1 200"));
 }
 
@@ -166,9 +168,7 @@
 {
     limits_.idle_timeout = std::chrono::seconds(10);
     server_.set_limits(limits_);
-    asio::steady_timer caller_pause(context_, idle_limit + allowance * 2);
-    caller_pause.async_wait([this](boost::system::error_code)
-                            { send(request_text); });
+    send_after(idle_limit + allowance * 2, request_text);
     EXPECT_TRUE(receive().starts_with("HTTP/1.1 200"));
 }
 
