Derive that a gateway drains from its drain state

app::draining_ repeated whether the drain state has a response deadline, and the deadline was computed twice. The check of ended_by_drain_ before another attempt is reserved could not fail: a request that the drain ended has no time left, so may_retry() has refused by then. Behaviour is unchanged.

--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -107,7 +107,8 @@
 
 bool app::is_ready() const
 {
-    return !draining_ && state_.routes && state_.upstream_list_read;
+    return !state_.drain.response_deadline() && state_.routes &&
+           state_.upstream_list_read;
 }
 
 asio::awaitable<void> app::serve_readiness(http::exchange& exchange)
@@ -156,7 +157,6 @@
         .with("active", caller_server_.active_exchanges());
     const auto now = monotonic_clock::now();
     const auto grace = state_.settings.bounds.shutdown_grace;
-    draining_ = true;
     state_.drain.begin(now + grace - response_margin);
     caller_server_.disable_keep_alive();
     asio::co_spawn(context_, finish_drain(now + grace), asio::detached);
@@ -170,7 +170,7 @@
 
 asio::awaitable<void> app::finish_drain(mono_time termination)
 {
-    const auto response_deadline = termination - response_margin;
+    const auto response_deadline = *state_.drain.response_deadline();
     const auto wait_for = [this](duration limit) -> asio::awaitable<void>
     {
         asio::steady_timer timer(context_, limit);
--- a/src/gateway/app.hpp
+++ b/src/gateway/app.hpp
@@ -45,7 +45,6 @@
     http::server readiness_server_;
     http::server metrics_server_;
     state_updater state_updater_;
-    bool draining_ = false;
 };
 
 } // namespace wagtailseam::gateway
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -476,7 +476,7 @@
         !state_.crashes.quarantine().has_records() ||
         std::holds_alternative<quarantine::unrestricted>(
             state_.crashes.check(request_.content()));
-    if (caller_disconnected_ || ended_by_drain_ || !is_unrestricted)
+    if (caller_disconnected_ || !is_unrestricted)
     {
         return false;
     }
