Count requests that have arrived as active when a server stops

Callers saw, by reading: at a planned stop, a request that had arrived whole or in part got neither an answer nor a refusal.

Cause: the server counted requests only from the start of their handler. A stop shut down the receiving side of all other connections, and the programs end when the count is zero, which was so before the sockets were read again. Connections in the queue of the listening socket were reset.

Now a connection has a request from its first byte on, also if that byte is unread at the stop. Such connections stay open until their response, the queue is accepted first, and the count contains them. The limits on headers and bodies bound the time for the rest.

What remains: a request that arrives after the look at the socket, and a connection whose accept has completed but whose handler has not run.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http.hpp>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <set>
 
 namespace wagtailseam::http
@@ -86,12 +87,17 @@
     asio::steady_timer retry_timer;
     bool stopping = false;
     bool keep_alive_disabled = false;
-    std::size_t active_exchanges = 0;
-    /// All open connections. stop_accepting() closes those without an exchange.
+    /// All open connections. stop_accepting() closes those without a request.
     std::set<exchange::connection*> connections;
 
+    void stop();
     asio::awaitable<void> accept_loop();
-    asio::awaitable<void> session(tcp::socket socket);
+    /// Accepts the connections that wait in the queue of the listening socket.
+    void accept_queued();
+    void start_session(tcp::socket socket);
+    asio::awaitable<void> session(std::shared_ptr<exchange::connection> conn);
+    /// Closes the receiving side unless a part of a request has arrived.
+    static void close_if_idle(exchange::connection& conn);
     /// Serves one request. Returns whether the connection stays open.
     asio::awaitable<bool> serve_one(exchange::connection& conn);
     /// Waits until bytes or the end of the connection can be read. Returns
@@ -129,7 +135,8 @@
     beast::flat_buffer buffer;
     server::state& owner;
     bool keep_alive = true;
-    bool in_exchange = false;
+    /// A part of a request has arrived, and the response has not ended.
+    bool has_request = false;
     bool waits_for_bytes = false;
     /// Whether the timer ended the last wait.
     bool read_timed_out = false;
@@ -334,21 +341,57 @@
             co_await retry_timer.async_wait(completion);
             continue;
         }
-        boost::system::error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
-        socket.non_blocking(true, ignored);
-        asio::co_spawn(
-            acceptor.get_executor(), session(std::move(socket)),
-            asio::detached);
+        start_session(std::move(socket));
     }
 }
 
-asio::awaitable<void> server::state::session(tcp::socket socket)
+void server::state::accept_queued()
 {
-    const auto self = shared_from_this();
+    boost::system::error_code error;
+    acceptor.non_blocking(true, error);
+    while (!error && connections.size() < options.max_connections)
+    {
+        tcp::socket socket(acceptor.get_executor());
+        acceptor.accept(socket, error);
+        if (!error)
+        {
+            start_session(std::move(socket));
+        }
+    }
+}
+
+void server::state::start_session(tcp::socket socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
     const auto conn =
         std::make_shared<exchange::connection>(std::move(socket), *this);
     connections.insert(conn.get());
+    if (stopping)
+    {
+        close_if_idle(*conn);
+    }
+    asio::co_spawn(acceptor.get_executor(), session(conn), asio::detached);
+}
+
+void server::state::close_if_idle(exchange::connection& conn)
+{
+    auto& socket = conn.stream.socket();
+    conn.has_request =
+        conn.has_request || peek(socket) == socket_content::bytes;
+    if (!conn.has_request)
+    {
+        boost::system::error_code ignored;
+        conn.receive_shut_down = true;
+        socket.shutdown(tcp::socket::shutdown_receive, ignored);
+    }
+}
+
+asio::awaitable<void> server::state::session(
+    std::shared_ptr<exchange::connection> conn)
+{
+    const auto self = shared_from_this();
     while (co_await serve_one(*conn))
     {
     }
@@ -475,6 +518,7 @@
             co_return error;
         }
     }
+    conn.has_request = true;
     // The limits may have changed while the connection was idle.
     const server_limits limits = options.limits;
     parser.body_limit(limits.max_body_bytes);
@@ -533,8 +577,6 @@
             code, body_over_limit ? 413 : (header_over_limit ? 431 : 400)));
         co_return false;
     }
-    ++active_exchanges;
-    conn.in_exchange = true;
     conn.stream.expires_never();
     try
     {
@@ -545,8 +587,7 @@
         spdlog::error("event=handler_failed detail=\"{}\"", exception.what());
         conn.keep_alive = false;
     }
-    conn.in_exchange = false;
-    --active_exchanges;
+    conn.has_request = false;
     co_return !conn.closes_after_response();
 }
 
@@ -572,26 +613,27 @@
 
 server::~server()
 {
-    stop_accepting();
+    state_->stop();
 }
 
-void server::stop_accepting()
+void server::state::stop()
 {
-    state_->stopping = true;
+    stopping = true;
     boost::system::error_code ignored;
-    state_->acceptor.close(ignored);
-    state_->retry_timer.cancel();
-    for (auto* const conn : state_->connections)
+    acceptor.close(ignored);
+    retry_timer.cancel();
+    for (auto* const conn : connections)
     {
-        if (!conn->in_exchange)
-        {
-            conn->receive_shut_down = true;
-            conn->stream.socket().shutdown(
-                tcp::socket::shutdown_receive, ignored);
-        }
+        close_if_idle(*conn);
     }
 }
 
+void server::stop_accepting()
+{
+    state_->accept_queued();
+    state_->stop();
+}
+
 void server::set_limits(const server_limits& limits)
 {
     state_->options.limits = limits;
@@ -604,7 +646,9 @@
 
 std::size_t server::active_exchanges() const noexcept
 {
-    return state_->active_exchanges;
+    return static_cast<std::size_t>(std::count_if(
+        state_->connections.begin(), state_->connections.end(),
+        [](const auto* conn) { return conn->has_request; }));
 }
 
 std::uint16_t server::port() const noexcept
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -144,11 +144,11 @@
     /// still accepted.
     void disable_keep_alive();
 
-    /// Stops accepting connections and closes idle ones. Exchanges in progress
-    /// continue; their connections are closed after the response.
+    /// Stops accepting connections and closes idle ones. Requests of which a
+    /// part has arrived are served; their connections are closed afterwards.
     void stop_accepting();
 
-    /// Returns the number of exchanges in progress.
+    /// Returns the number of requests received in part or not answered yet.
     [[nodiscard]] std::size_t active_exchanges() const noexcept;
     /// Returns the port that the server listens on.
     [[nodiscard]] std::uint16_t port() const noexcept;
