Record no time-out against an upstream that has responded

Callers saw, by reading: other requests avoided a sound upstream, because a failure was recorded against it while the gateway did not run its handlers.

Cause: the handler of the time-out in run_attempt recorded the failure without a look at the socket, and a handler that was queued when the attempt ended still ran, since cancelling the timer does not reach it.

The cancellation handle keeps the connection for this in place of a function that closes it.

What remains: watch_silence ends attempts without this look.

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -468,6 +468,31 @@
         });
 }
 
+void request_handler::record_silence_when_due(
+    const std::shared_ptr<silence_watch>& watch, const upstream_id& id)
+{
+    watch->timer.expires_after(std::max<duration>(
+        watch->due - monotonic_clock::now(), duration::zero()));
+    watch->timer.async_wait(
+        [this, watch, id](auto ec)
+        {
+            // A handler that was queued when the watch was stopped still runs.
+            if (ec || watch->stopped)
+            {
+                return;
+            }
+            const auto now = monotonic_clock::now();
+            if (cancellation_handle_->has_unread_input())
+            {
+                watch->due = now + silence_check_interval;
+                record_silence_when_due(watch, id);
+                return;
+            }
+            state_.upstreams.record_result(
+                id, serving::response_timed_out{}, now);
+        });
+}
+
 bool request_handler::reserve_next_attempt()
 {
     // A suspect may be refused its trial, and a request that is being tried
@@ -594,25 +619,16 @@
     record_.dispatch = planned.summary;
     const auto options = make_open_options();
     begin_attempt(target, planned);
-    // Other requests avoid an unresponsive upstream before this attempt ends.
-    asio::steady_timer timeout_timer(
+    const silence_watch_scope time_out(
         co_await asio::this_coro::executor,
         request_.route->latency_target * streaming_silence_factor);
-    timeout_timer.async_wait(
-        [&state = state_, id = target.entry.id](auto ec)
-        {
-            if (!ec)
-            {
-                state.upstreams.record_result(
-                    id, serving::response_timed_out{}, monotonic_clock::now());
-            }
-        });
+    record_silence_when_due(time_out.watch(), target.entry.id);
     const silence_watch_scope silence(
         co_await asio::this_coro::executor, silence_limit(target));
     watch_silence(silence.watch());
     auto opened = co_await upstream_client_.open(
         target.entry.address, std::move(planned.message), options);
-    timeout_timer.cancel();
+    time_out.stop();
     silence.stop();
     if (!opened)
     {
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -144,7 +144,7 @@
         }
 
         asio::steady_timer timer;
-        /// When the silence is long enough to prefer another upstream.
+        /// When the silence is long enough to act on it.
         mono_time due;
         bool stopped = false;
     };
@@ -180,6 +180,10 @@
     /// Ends the attempt once the silence is long enough and another attempt is
     /// certain to start. Until then its response is awaited.
     void watch_silence(const std::shared_ptr<silence_watch>& watch);
+    /// Records the silence of an upstream, so that other requests avoid it
+    /// before the attempt ends.
+    void record_silence_when_due(
+        const std::shared_ptr<silence_watch>& watch, const upstream_id& id);
     /// Chooses the upstream of another attempt and pays for it, if nothing
     /// prevents that attempt while the current one is in progress.
     [[nodiscard]] bool reserve_next_attempt();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -94,12 +94,18 @@
 void cancellation_handle::cancel() noexcept
 {
     cancelled_ = true;
-    if (close_)
+    if (const auto conn = connection_.lock())
     {
-        close_();
+        conn->stream.close();
     }
 }
 
+bool cancellation_handle::has_unread_input() const
+{
+    const auto conn = connection_.lock();
+    return conn && http::has_unread_input(*conn);
+}
+
 struct client::state : std::enable_shared_from_this<client::state>
 {
     state(
@@ -522,13 +528,7 @@
     const auto conn = opened->conn;
     if (options.cancellation)
     {
-        options.cancellation->close_ = [weak = std::weak_ptr(conn)]
-        {
-            if (const auto locked = weak.lock())
-            {
-                locked->stream.close();
-            }
-        };
+        options.cancellation->connection_ = conn;
     }
     if (!expected.empty())
     {
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -41,6 +41,8 @@
     std::size_t max_body_bytes = std::size_t{16} * 1024 * 1024;
 };
 
+struct pooled_connection;
+
 /// Cancels a request, whichever operation it is waiting for.
 class cancellation_handle
 {
@@ -49,13 +51,16 @@
     /// request that has not been sent yet is not sent.
     void cancel() noexcept;
     [[nodiscard]] bool cancelled() const noexcept { return cancelled_; }
+    /// Returns whether bytes or the end of the connection have arrived that
+    /// this process has not read yet.
+    [[nodiscard]] bool has_unread_input() const;
 
 private:
     friend class client;
 
     bool cancelled_ = false;
-    /// Closes the connection of the request; empty until one is established.
-    std::function<void()> close_;
+    /// The connection of the request; null until one is established.
+    std::weak_ptr<pooled_connection> connection_;
 };
 
 struct open_options
--- a/src/http/pooled_connection.cpp
+++ b/src/http/pooled_connection.cpp
@@ -30,19 +30,21 @@
            end;
 }
 
-bool is_usable(pooled_connection& idle)
+bool has_unread_input(pooled_connection& conn)
 {
-    if (monotonic_clock::now() - idle.idle_since > idle.max_idle_time)
-    {
-        return false;
-    }
     char byte = 0;
     boost::system::error_code error;
-    auto& socket = idle.stream.socket();
+    auto& socket = conn.stream.socket();
     socket.non_blocking(true, error);
     socket.receive(
         asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
-    return error == asio::error::would_block;
+    return error != asio::error::would_block;
+}
+
+bool is_usable(pooled_connection& idle)
+{
+    return monotonic_clock::now() - idle.idle_since <= idle.max_idle_time &&
+           !has_unread_input(idle);
 }
 
 duration reuse_period(const response& header, duration limit)
--- a/src/http/pooled_connection.hpp
+++ b/src/http/pooled_connection.hpp
@@ -59,6 +59,9 @@
     duration max_idle_time{};
 };
 
+/// Returns whether bytes or the end of the connection can be read.
+[[nodiscard]] bool has_unread_input(pooled_connection& conn);
+
 /// Returns whether an idle connection can be reused. Pending bytes or an end of
 /// stream mean that the server has closed it or sent unexpected data.
 [[nodiscard]] bool is_usable(pooled_connection& idle);
