Forward no success that lacks the upstream's proof

Cause: the gateway looked at the status only. A head that a blank line ends early is well-formed; it lacks the fields that had not been sent, and its body ends with the connection.

An unproven 2xx ends its attempt as a broken response whose request may have run: the connection is closed, the process of the upstream is checked for a crash, and the request is repeated within the attempts of its route and the retry budget, else the caller gets 502. The check comes before anything is forwarded, so a resumable stream begins or goes on at another upstream. Refusals, 3xx, 4xx and 5xx are treated as before.

A head that ends early after its proof, before the field that states the length, still looks whole.

--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -74,6 +74,8 @@
         const serving::chosen_upstream& target, body_end end);
     /// Records that an upstream executed the request without a crash.
     void record_completion();
+    /// Ends an attempt that may have run although no whole response arrived.
+    void end_broken_attempt(const serving::chosen_upstream& target);
     [[nodiscard]] next_step handle_broken_response(
         const serving::chosen_upstream& target);
     /// Returns whether another upstream can continue the response. The gateway
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -19,6 +19,7 @@
 /// the attempt. Events contain a few tokens. The buffer of an event may be
 /// twice as large, and many upstreams may send such events at once.
 constexpr std::size_t max_event_bytes = std::size_t{64} * 1024;
+constexpr unsigned status_success = 200;
 constexpr unsigned status_redirection = 300;
 constexpr duration min_retry_after = std::chrono::milliseconds(100);
 /// Callers respect a Retry-After of at most their remaining time divided by
@@ -50,6 +51,11 @@
 
 constexpr unsigned status_server_error = 500;
 
+bool is_success(unsigned status)
+{
+    return status >= status_success && status < status_redirection;
+}
+
 /// An error with this content type is a text that no upstream can continue.
 bool is_event_stream(const http::response& head)
 {
@@ -109,6 +115,14 @@
         (void)co_await stream.read(refusal_body_timeout);
         co_return next_step::retry;
     }
+    // A head that ended early may lack fields and the body.
+    if (is_success(stream.head().status) && !response.proven)
+    {
+        failure_detail_ = "success without a proof";
+        stream.close();
+        end_broken_attempt(target);
+        co_return may_retry() ? next_step::retry : next_step::give_up;
+    }
     const bool is_server_error = stream.head().status >= status_server_error;
     const bool is_other_content =
         response_head_sent_ && (stream.head().status != record_.status ||
@@ -234,8 +248,7 @@
     }
 }
 
-request_handler::next_step request_handler::handle_broken_response(
-    const serving::chosen_upstream& target)
+void request_handler::end_broken_attempt(const serving::chosen_upstream& target)
 {
     end_attempt(target, serving::response_failed{});
     broken_attempt_ = broken_attempt{
@@ -245,6 +258,12 @@
                        ? result_code::deadline_passed
                        : result_code::stream_broken;
     event_splitter_.drop_partial();
+}
+
+request_handler::next_step request_handler::handle_broken_response(
+    const serving::chosen_upstream& target)
+{
+    end_broken_attempt(target);
     return is_resumable_stream() && may_retry() ? next_step::retry
                                                 : next_step::give_up;
 }
