Bind a stream to the process that answered

Callers got answers joined of two versions. It happens here if upstreams restart under their ids, with all gateways in step as well.

Cause: the entry of the list was applied to whichever process answered at its address. A connection belongs to one process, and an entry that was read before the connection was established says nothing certain of it.

Ruled out: reads of the whole list for each stream (price; an entry outlives its process while the store is away), datagrams of agents (their age is unknown to a gateway that stood still), ends of connections (a cut link delivers none).

Now a connection counts as the listed process's if that one is known to have run after the connection was established, by its report or by a response on a connection that is known to be its own. A resumable stream of another process begins again, or is recorded as unknown before it is forwarded and never continued; a continuation is forwarded only from the listed process.

--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -57,6 +57,7 @@
           context.get_executor(), {.max_idle_connections = max_idle_connections,
                                    .max_idle_time = max_idle_time,
                                    .tcp_user_timeout = unacknowledged_timeout}),
+      process_check_(state_, upstream_client_),
       caller_server_(
           context.get_executor(),
           {.listen = require_address(state_.settings.caller_listen, "callers"),
@@ -64,7 +65,8 @@
            { record_idle_closure(closure); }},
           [this](http::exchange& exchange) -> asio::awaitable<void>
           {
-              request_handler handler(state_, upstream_client_, exchange);
+              request_handler handler(
+                  state_, upstream_client_, process_check_, exchange);
               co_await handler.serve();
           }),
       readiness_server_(
--- a/src/gateway/app.hpp
+++ b/src/gateway/app.hpp
@@ -2,6 +2,7 @@
 #ifndef WAGTAILSEAM_GATEWAY_APP_HPP
 #define WAGTAILSEAM_GATEWAY_APP_HPP
 
+#include "gateway/process_check.hpp"
 #include "gateway/shared_state.hpp"
 #include "gateway/state_updater.hpp"
 #include "http/client.hpp"
@@ -41,6 +42,7 @@
     asio::io_context& context_;
     shared_state state_;
     http::client upstream_client_;
+    process_check process_check_;
     http::server caller_server_;
     http::server readiness_server_;
     http::server metrics_server_;
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -73,8 +73,9 @@
 
 request_handler::request_handler(
     shared_state& state, http::client& upstream_client,
-    http::exchange& exchange)
-    : state_(state), upstream_client_(upstream_client), exchange_(exchange)
+    process_check& processes, http::exchange& exchange)
+    : state_(state), upstream_client_(upstream_client),
+      process_check_(processes), exchange_(exchange)
 {
     request_.received = monotonic_clock::now();
     request_.deadline = request_.received;
@@ -186,7 +187,7 @@
 
 bool request_handler::may_retry() const
 {
-    return request_.route->retryable() &&
+    return request_.route->retryable() && may_continue_stream() &&
            record_.executions < request_.route->max_attempts &&
            record_.dispatches < max_dispatches &&
            request_.time_left() >
@@ -262,8 +263,21 @@
         state_, request_, tried_upstreams_, record_.executions == 0);
     query.restricted = state_.statements.restricted();
     query.software = required_software();
-    return state_.upstreams.choose(
-        query, state_.random, monotonic_clock::now());
+    if (request_.route->is_resumable_stream())
+    {
+        query.processes = &state_.processes;
+    }
+    auto selection =
+        state_.upstreams.choose(query, state_.random, monotonic_clock::now());
+    if (!stream_origin_ && query.processes != nullptr &&
+        std::holds_alternative<serving::none_available>(selection))
+    {
+        // A new stream of an unknown version is better than none.
+        query.processes = nullptr;
+        selection = state_.upstreams.choose(
+            query, state_.random, monotonic_clock::now());
+    }
+    return selection;
 }
 
 std::optional<serving::chosen_upstream> request_handler::choose_upstream()
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -3,6 +3,7 @@
 #define WAGTAILSEAM_GATEWAY_REQUEST_HANDLER_HPP
 
 #include "gateway/dispatch_plan.hpp"
+#include "gateway/process_check.hpp"
 #include "gateway/request_record.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
@@ -30,7 +31,7 @@
 public:
     request_handler(
         shared_state& state, http::client& upstream_client,
-        http::exchange& exchange);
+        process_check& processes, http::exchange& exchange);
 
     asio::awaitable<void> serve();
 
@@ -51,6 +52,11 @@
     asio::awaitable<next_step> run_attempt(serving::chosen_upstream target);
     asio::awaitable<next_step> handle_response(
         const serving::chosen_upstream& target, http::response_stream stream);
+    /// Records what a response says of its upstream's process.
+    void record_statements(
+        const serving::chosen_upstream& target,
+        const http::response_stream& stream,
+        const platform::upstream_response& response);
     /// Returns why an upstream did not execute the request.
     [[nodiscard]] serving::attempt_result classify_refusal(
         const serving::chosen_upstream& target,
@@ -88,6 +94,24 @@
     asio::awaitable<bool> find_stream_origin();
     /// Returns the request that brought the stream's first event.
     [[nodiscard]] const request_id& stream_id() const;
+    /// Returns whether the software version that began the stream is known, or
+    /// no event was forwarded yet.
+    [[nodiscard]] bool may_continue_stream() const;
+    /// Finds out whether the response is that of the listed process, whose
+    /// software version is known. Returns whether its events may be forwarded.
+    /// Another process must not continue a stream, and one that it begins must
+    /// be recorded as unknown. Reserves the next attempt if the stream is to
+    /// begin again.
+    asio::awaitable<bool> prepare_stream(
+        const serving::chosen_upstream& target,
+        const http::response_stream& stream);
+    /// Returns whether a stream that an unlisted process began is to begin
+    /// again, since nothing was forwarded. Reserves the next attempt.
+    asio::awaitable<bool> may_begin_again(
+        const serving::chosen_upstream& target);
+    /// Returns whether the record says that the stream's version is unknown.
+    asio::awaitable<bool> record_unknown_stream(
+        const serving::chosen_upstream& target);
     /// Records where the stream began, before its first event is forwarded.
     asio::awaitable<void> record_stream_begin(
         const serving::chosen_upstream& target);
@@ -203,6 +227,7 @@
 
     shared_state& state_;
     http::client& upstream_client_;
+    process_check& process_check_;
     http::exchange& exchange_;
 
     accepted_request request_;
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -88,17 +88,28 @@
     return serving::weights_differ{.model = model, .running = running_version};
 }
 
-asio::awaitable<request_handler::next_step> request_handler::handle_response(
-    const serving::chosen_upstream& target, http::response_stream stream)
+void request_handler::record_statements(
+    const serving::chosen_upstream& target, const http::response_stream& stream,
+    const platform::upstream_response& response)
 {
-    const auto response = platform::decode_response_head(stream.head());
     // Another upstream may have the address by now.
-    if (!response.instance || *response.instance == target.entry.id)
+    if (response.instance && *response.instance != target.entry.id)
     {
-        state_.statements.record_response(
-            serving::process_of(target.entry), response.statement,
-            attempt_began_at_);
+        return;
     }
+    state_.statements.record_response(
+        serving::process_of(target.entry), response.statement,
+        attempt_began_at_);
+    state_.processes.record_response(
+        target.entry, stream.connected_at(),
+        std::max(attempt_began_at_, stream.connected_at()));
+}
+
+asio::awaitable<request_handler::next_step> request_handler::handle_response(
+    const serving::chosen_upstream& target, http::response_stream stream)
+{
+    const auto response = platform::decode_response_head(stream.head());
+    record_statements(target, stream, response);
     if (response.not_run)
     {
         --record_.executions;
@@ -135,6 +146,19 @@
         record_.code = result_code::outcome_unknown;
         co_return may_retry() ? next_step::retry : next_step::give_up;
     }
+    if (request_.route->is_resumable_stream() && is_event_stream(stream.head()))
+    {
+        finish_prefill(true);
+        const bool may_forward = co_await prepare_stream(target, stream);
+        if (!may_forward)
+        {
+            failure_detail_ = "process of the upstream is not listed";
+            end_attempt(target, serving::abandoned{});
+            record_.code = result_code::stream_broken;
+            co_return next_upstream_ || may_retry() ? next_step::retry
+                                                    : next_step::give_up;
+        }
+    }
     co_return co_await forward_response(target, stream);
 }
 
--- a/src/gateway/request_handler_streams.cpp
+++ b/src/gateway/request_handler_streams.cpp
@@ -4,10 +4,25 @@
 #include "gateway/request_handler.hpp"
 #include "telemetry/event_log.hpp"
 
+#include <boost/assert.hpp>
+
 #include <algorithm>
 
 namespace wagtailseam::gateway
 {
+namespace
+{
+
+/// An event of a stream is late if it is forwarded over 120 ms after it was
+/// made.
+constexpr std::chrono::milliseconds max_begin_check_wait{80};
+/// The events of a continuation are discarded if its process is unknown, which
+/// costs more than a late event.
+constexpr std::chrono::milliseconds max_continuation_check_wait{400};
+/// A read of the list takes some milliseconds unless the store is away.
+constexpr std::chrono::milliseconds max_list_wait{40};
+
+} // namespace
 
 bool request_handler::is_resumable_stream() const
 {
@@ -33,11 +48,11 @@
     const auto began_at = monotonic_clock::now();
     const auto own = state_.streams.open.find(stream_id());
     origin_lookup found = origin_unknown{};
-    if (own)
+    if (own && own->version)
     {
         found = origin_known{*own, "gateway"};
     }
-    else
+    else if (!own)
     {
         auto recorded = co_await state_.streams.look_up_records(
             stream_id(), *request_.route);
@@ -59,7 +74,8 @@
         .with(
             "service", known != nullptr ? known->begun_by.service.value() : "")
         .with(
-            "software", known != nullptr ? known->begun_by.version.value() : "")
+            "software",
+            known != nullptr ? known->begun_by.version->value() : "")
         .with("detail", failed != nullptr ? failed->detail : "")
         .with("took_us", (monotonic_clock::now() - began_at).count());
     state_.metrics.count(
@@ -84,6 +100,77 @@
     co_return true;
 }
 
+bool request_handler::may_continue_stream() const
+{
+    return !stream_origin_ || stream_origin_->version;
+}
+
+asio::awaitable<bool> request_handler::prepare_stream(
+    const serving::chosen_upstream& target, const http::response_stream& stream)
+{
+    const duration limit =
+        stream_origin_ ? max_continuation_check_wait : max_begin_check_wait;
+    const bool confirmed = co_await process_check_.leads_to_listed_process(
+        target.entry, stream.connected_at(),
+        std::min<duration>(limit, request_.time_left()));
+    if (confirmed)
+    {
+        co_return true;
+    }
+    state_.metrics.count("wagtail_streams_of_unknown_process_total");
+    telemetry::event("stream_process_unknown")
+        .with("request", request_.call.id)
+        .with("upstream", target.entry.id)
+        .with("listed_ms", target.entry.started_ms)
+        .with("software", target.entry.software);
+    if (stream_origin_)
+    {
+        co_return false;
+    }
+    const bool begins_again = co_await may_begin_again(target);
+    if (begins_again)
+    {
+        co_return false;
+    }
+    co_return co_await record_unknown_stream(target);
+}
+
+asio::awaitable<bool> request_handler::may_begin_again(
+    const serving::chosen_upstream& target)
+{
+    if (!state_.processes.is_replaced(target.entry) || !may_retry())
+    {
+        co_return false;
+    }
+    const bool is_listed = co_await process_check_.wait_until_replaced(
+        serving::process_of(target.entry), max_list_wait);
+    if (is_listed)
+    {
+        tried_upstreams_.erase(target.entry.id);
+    }
+    co_return reserve_next_attempt();
+}
+
+asio::awaitable<bool> request_handler::record_unknown_stream(
+    const serving::chosen_upstream& target)
+{
+    auto& streams = state_.streams;
+    const stream_origin::origin unknown{.service = target.entry.service};
+    streams.open.begin(stream_id(), unknown);
+    // Other gateways would take a stream without a record for one of the single
+    // version.
+    const bool recorded =
+        co_await streams.wait_until_recorded(streams.open.additions());
+    if (recorded)
+    {
+        stream_recorded_ = true;
+        stream_origin_ = unknown;
+        co_return true;
+    }
+    streams.open.complete(stream_id());
+    co_return false;
+}
+
 asio::awaitable<void> request_handler::record_stream_begin(
     const serving::chosen_upstream& target)
 {
@@ -94,14 +181,16 @@
     stream_recorded_ = true;
     if (!stream_origin_)
     {
-        stream_origin_ =
-            stream_origin::origin{target.entry.service, target.entry.software};
+        stream_origin_ = stream_origin::origin{
+            .service = target.entry.service, .version = target.entry.software};
     }
     auto& streams = state_.streams;
     streams.open.begin(stream_id(), *stream_origin_);
     if (streams.needs_record(*stream_origin_))
     {
-        co_await streams.wait_until_recorded(streams.open.additions());
+        // A stream whose version is known is not held back while the store does
+        // not answer: then another gateway cannot resume it, which costs less.
+        (void)co_await streams.wait_until_recorded(streams.open.additions());
     }
 }
 
@@ -111,7 +200,9 @@
     {
         return;
     }
-    if (record_.code == result_code::ok)
+    // A caller that misses the end takes a stream up, and one without a known
+    // version must not be taken for one without a record.
+    if (record_.code == result_code::ok && may_continue_stream())
     {
         state_.streams.open.complete(stream_id());
         return;
@@ -130,6 +221,7 @@
 {
     if (stream_origin_)
     {
+        BOOST_ASSERT(stream_origin_->version.has_value());
         return stream_origin_->version;
     }
     if (!request_.route->is_resumable_stream())
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -13,6 +13,7 @@
 #include "serving/cache_view.hpp"
 #include "serving/load_balancer.hpp"
 #include "serving/route_table.hpp"
+#include "serving/running_processes.hpp"
 #include "serving/weight_announcements.hpp"
 #include "telemetry/log_rate_limiter.hpp"
 #include "telemetry/metrics.hpp"
@@ -51,6 +52,10 @@
     bool upstream_list_read = false;
     /// When the list of upstreams was last read, or reported as unchanged.
     mono_time upstream_list_read_at;
+    /// Reads the list again at once, because an upstream has stated something
+    /// newer.
+    std::function<void()> refresh_upstream_list = [] {};
+    serving::running_processes processes;
     serving::cache_view caches;
     /// When the operator's table was last read, or reported as unchanged.
     mono_time operator_table_read_at;
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -164,6 +164,7 @@
                      std::to_string(state_.settings.first_internal_port)}}),
         asio::detached);
     asio::co_spawn(context_, receive_datagrams(), asio::detached);
+    state_.refresh_upstream_list = [this] { upstream_table_.refresh(); };
     state_.on_pending_prefill_changed = [this](const auto& id)
     { send_prefill_report(id); };
     asio::co_spawn(context_, renew_prefill_reports(), asio::detached);
@@ -474,6 +475,7 @@
         state_.crashes.record_process_end(
             {removed->id, removed->started_ms}, "unlisted");
         state_.statements.erase({removed->id, removed->started_ms});
+        state_.processes.erase(removed->id);
     }
 }
 
--- a/src/gateway/stream_origin_sync.cpp
+++ b/src/gateway/stream_origin_sync.cpp
@@ -110,7 +110,9 @@
     const auto record = rows.origins.find(stream);
     if (record != rows.origins.end())
     {
-        return origin_known{record->second, "record"};
+        return record->second.version
+                   ? origin_lookup(origin_known{record->second, "record"})
+                   : origin_unknown{};
     }
     // A request may have been routed to any of several services.
     if (route.services.size() != 1)
@@ -303,7 +305,7 @@
     }
 }
 
-asio::awaitable<void> stream_origin_sync::wait_until_recorded(
+asio::awaitable<bool> stream_origin_sync::wait_until_recorded(
     std::uint64_t addition)
 {
     record_changed_.cancel();
@@ -322,12 +324,12 @@
             });
         co_await record_written_.async_wait(completion);
     }
-    if (recorded_additions_ < addition)
+    const bool recorded = recorded_additions_ >= addition;
+    if (!recorded)
     {
-        // Another gateway cannot resume the stream, which costs less than to
-        // hold it back while the store does not answer.
         state_.metrics.count("wagtail_streams_not_recorded_total");
     }
+    co_return recorded;
 }
 
 asio::awaitable<bool> stream_origin_sync::adopt_own_record()
--- a/src/gateway/stream_origin_sync.hpp
+++ b/src/gateway/stream_origin_sync.hpp
@@ -81,9 +81,9 @@
     void apply_regimes(const regime_map& read);
 
     asio::awaitable<void> write_records();
-    /// Returns when the record contains an addition to the open streams, after
-    /// a time limit, or at once while the record cannot be written.
-    asio::awaitable<void> wait_until_recorded(std::uint64_t addition);
+    /// Returns whether the record contains an addition to the open streams, at
+    /// the latest after a time limit, or at once while it cannot be written.
+    asio::awaitable<bool> wait_until_recorded(std::uint64_t addition);
     /// Takes over the streams that the previous incarnation recorded.
     asio::awaitable<bool> adopt_own_record();
     asio::awaitable<void> write_record();
--- a/src/gateway/stream_origins.cpp
+++ b/src/gateway/stream_origins.cpp
@@ -7,8 +7,8 @@
 bool stream_origins::needs_record(const stream_origin::origin& begun_by) const
 {
     const auto regime = regimes.find(begun_by.service);
-    return regime == regimes.end() ||
-           regime->second.needs_record(begun_by.version);
+    return regime == regimes.end() || !begun_by.version ||
+           regime->second.needs_record(*begun_by.version);
 }
 
 std::optional<serving::software_version> stream_origins::begins_at(
--- a/src/gateway/stream_origins.hpp
+++ b/src/gateway/stream_origins.hpp
@@ -24,12 +24,14 @@
 /// The stream began at this service and version.
 struct origin_known
 {
+    /// @invariant the version is set
     stream_origin::origin begun_by;
     /// "gateway", "record" or "regime", for the log.
     std::string_view source;
 };
 
-/// No gateway recorded the stream, and several versions may have begun it.
+/// No gateway recorded the stream, and several versions may have begun it, or
+/// its gateway did not know which process did.
 struct origin_unknown
 {
 };
@@ -59,11 +61,12 @@
             [](const auto&,
                const auto&) -> boost::asio::awaitable<origin_lookup>
     { co_return origin_unknown{}; };
-    /// Returns when other gateways can find a stream that was added to the open
-    /// ones, or after a time limit.
-    std::function<boost::asio::awaitable<void>(std::uint64_t addition)>
-        wait_until_recorded = [](auto) -> boost::asio::awaitable<void>
-    { co_return; };
+    /// Returns true when other gateways can find a stream that was added to the
+    /// open ones, or false after a time limit or while no record can be
+    /// written.
+    std::function<boost::asio::awaitable<bool>(std::uint64_t addition)>
+        wait_until_recorded = [](auto) -> boost::asio::awaitable<bool>
+    { co_return true; };
 
     /// Returns whether a stream that begins at this origin has to be recorded.
     [[nodiscard]] bool needs_record(
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -246,6 +246,7 @@
     {
         co_return fail(result_code::upstream_unreachable, error.message());
     }
+    conn->connected_at = monotonic_clock::now();
     boost::system::error_code ignored;
     auto& socket = conn->stream.socket();
     socket.set_option(tcp::no_delay(true), ignored);
@@ -269,6 +270,7 @@
     std::optional<bhttp::response_parser<bhttp::buffer_body>> parser;
     response header;
     std::vector<char> read_buffer;
+    mono_time connected_at;
     bool is_head_request = false;
     body_framing framing = body_framing::length;
 
@@ -437,6 +439,11 @@
     return state_->framing;
 }
 
+mono_time response_stream::connected_at() const noexcept
+{
+    return state_->connected_at;
+}
+
 asio::awaitable<result<std::string_view>> response_stream::read(
     duration timeout)
 {
@@ -524,6 +531,7 @@
     opened->server = server;
     opened->read_buffer.resize(state_->options.read_buffer_bytes);
     opened->conn = std::move(connected).value();
+    opened->connected_at = opened->conn->connected_at;
     opened->is_head_request = message.method == "HEAD";
     const auto conn = opened->conn;
     if (options.cancellation)
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -103,6 +103,9 @@
 
     [[nodiscard]] body_framing framing() const noexcept;
 
+    /// Returns when the connection that carries the response was established.
+    [[nodiscard]] mono_time connected_at() const noexcept;
+
     /// Returns the next part of the body, or an empty view at its end. The view
     /// is valid until the next call.
     /// @param timeout the call fails if it is not positive, also if data is
--- a/src/http/pooled_connection.hpp
+++ b/src/http/pooled_connection.hpp
@@ -53,6 +53,8 @@
     /// Whether an earlier request was sent on it.
     bool is_reused = false;
     correlation_history sent;
+    /// When it was established, after a process had accepted it.
+    mono_time connected_at;
     /// When the connection was returned to the pool.
     mono_time idle_since;
     /// How long it may stay in the pool.
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -167,6 +167,8 @@
     if (state.entry.service != query.service ||
         query.excluded.contains(state.entry.id) ||
         (query.software && *query.software != state.entry.software) ||
+        (query.processes != nullptr &&
+         query.processes->is_replaced(state.entry)) ||
         !is_available(state, now))
     {
         return false;
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -6,6 +6,7 @@
 #include "core/clock.hpp"
 #include "core/random_source.hpp"
 #include "serving/memory_estimate.hpp"
+#include "serving/running_processes.hpp"
 #include "serving/upstream.hpp"
 
 #include <cstddef>
@@ -145,6 +146,9 @@
     token_count tokens;
     /// Excludes upstreams of other software versions.
     std::optional<software_version> software;
+    /// Excludes upstreams whose listed process is known to have been replaced;
+    /// may be null.
+    const running_processes* processes = nullptr;
     /// Upstreams that earlier attempts of the request tried.
     std::set<upstream_id> excluded;
     /// Upstreams that, as they stated, take no requests of this gateway now.
@@ -227,6 +231,8 @@
     /// that was restored from an older copy may contain them again.
     void remove_departed(std::vector<upstream>& listed) const;
 
+    /// Returns whether a later process than this one is listed under its id.
+    [[nodiscard]] bool lists_successor(const upstream_process& process) const;
     /// Returns the software versions of a service's upstreams that are listed,
     /// also of those that drain.
     [[nodiscard]] std::set<software_version> software_versions(
--- a/src/serving/load_balancer_list.cpp
+++ b/src/serving/load_balancer_list.cpp
@@ -151,6 +151,13 @@
         });
 }
 
+bool load_balancer::lists_successor(const upstream_process& process) const
+{
+    const auto found = upstreams_.find(process.id);
+    return found != upstreams_.end() &&
+           found->second.entry.started_ms > process.started_ms;
+}
+
 std::set<software_version> load_balancer::software_versions(
     const service_id& service, mono_time now) const
 {
--- a/src/stream_origin/open_streams.cpp
+++ b/src/stream_origin/open_streams.cpp
@@ -19,13 +19,18 @@
 std::optional<origin> decode_origin(const json& source)
 {
     if (!source.is_array() || source.size() != 2 || !source[0].is_string() ||
-        !source[1].is_string())
+        !(source[1].is_string() || source[1].is_null()))
     {
         return std::nullopt;
     }
-    return origin{
-        serving::service_id{source[0].get<std::string>()},
-        serving::software_version{source[1].get<std::string>()}};
+    origin decoded{
+        .service = serving::service_id{source[0].get<std::string>()}};
+    if (source[1].is_string())
+    {
+        decoded.version =
+            serving::software_version{source[1].get<std::string>()};
+    }
+    return decoded;
 }
 
 } // namespace
@@ -43,7 +48,8 @@
         if (is_new)
         {
             encoded_origins.push_back(json::array(
-                {begun_by.service.value(), begun_by.version.value()}));
+                {begun_by.service.value(),
+                 begun_by.version ? json(begun_by.version->value()) : json()}));
         }
         encoded_streams[id.value()] = index->second;
     }
@@ -72,7 +78,8 @@
         {
             return fail(
                 result_code::malformed_message,
-                "origin " + entry.dump() + " is not [service, version]");
+                "origin " + entry.dump() +
+                    " is not [service, version or null]");
         }
         origins.push_back(std::move(*decoded));
     }
--- a/src/stream_origin/stream_origin.hpp
+++ b/src/stream_origin/stream_origin.hpp
@@ -6,13 +6,16 @@
 
 #include "serving/ids.hpp"
 
+#include <optional>
+
 namespace wagtailseam::stream_origin
 {
 
 struct origin
 {
     serving::service_id service;
-    serving::software_version version;
+    /// Unset if it is not known which process of the upstream began the stream.
+    std::optional<serving::software_version> version;
 
     friend bool operator==(const origin&, const origin&) = default;
     friend auto operator<=>(const origin&, const origin&) = default;
--- a/src/stream_origin/test/open_streams_test.cpp
+++ b/src/stream_origin/test/open_streams_test.cpp
@@ -142,15 +142,17 @@
     const auto text =
         rc::gen::container<std::string>(rc::gen::inRange<char>(1, 127));
     const auto entries = *rc::gen::container<
-        std::vector<std::tuple<std::string, std::string, std::string>>>(
-        rc::gen::tuple(text, text, text));
+        std::vector<std::tuple<std::string, std::string, std::string, bool>>>(
+        rc::gen::tuple(text, text, text, rc::gen::arbitrary<bool>()));
     origin_map origins;
-    for (const auto& [id, service, version] : entries)
+    for (const auto& [id, service, version, is_known] : entries)
     {
-        origins.emplace(
-            request_id{id}, origin{
-                                serving::service_id{service},
-                                serving::software_version{version}});
+        origin begun_by{.service = serving::service_id{service}};
+        if (is_known)
+        {
+            begun_by.version = serving::software_version{version};
+        }
+        origins.emplace(request_id{id}, std::move(begun_by));
     }
     const auto decoded = decode_origins(encode(origins));
     RC_ASSERT(decoded.has_value());
