--- a/src/gateway/process_check.cpp
+++ b/src/gateway/process_check.cpp
@@ -19,15 +19,14 @@
 {
 
 constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
-/// Of a report that is not awaited any longer, the result is of use to later
-/// streams.
+/// A report that comes too late for one stream still serves the next ones.
 constexpr std::chrono::milliseconds report_timeout{400};
 constexpr std::chrono::milliseconds list_check_interval{5};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 
 /// Returns the start time in a report; 0 if the upstream states none.
-result<std::uint64_t> decode(
+result<std::uint64_t> decode_start_time(
     const result<http::response>& answer, const upstream_id& expected)
 {
     if (!answer)
@@ -154,11 +153,11 @@
     serving::upstream entry, std::shared_ptr<pending_report> pending)
 {
     const auto answer = co_await receive_report(entry.address, pending);
-    auto report = decode(answer, entry.id);
+    const auto started_ms = decode_start_time(answer, entry.id);
     std::string_view outcome = "failed";
-    if (report)
+    if (started_ms)
     {
-        apply_report(entry, report.value(), *pending);
+        apply_report(entry, started_ms.value(), *pending);
         outcome = pending->is_unstated ? "unstated" : "stated";
     }
     else
@@ -166,7 +165,7 @@
         telemetry::event("process_check_failed")
             .with("upstream", entry.id)
             .with("listed_ms", entry.started_ms)
-            .with("detail", report.error().detail);
+            .with("detail", started_ms.error().detail);
     }
     state_.metrics.count("wagtail_process_checks_total", "outcome", outcome);
     pending->has_ended = true;
