Exempt resumptions from the limit of the queue

Cause of these refusals: the admission limit treated a resumption like a new request, although only the upstreams of one software version may take it and its caller waits for the rest of a stream that is partly delivered.

Evidence: resumption_is_not_refused_for_a_long_queue failed before (503).

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -259,8 +259,10 @@
 
 serving::choice request_handler::select_upstream()
 {
+    // Few upstreams can continue a stream, and its caller waits for the rest.
+    const bool limit_queue_length = record_.executions == 0 && !stream_origin_;
     auto query = make_upstream_query(
-        state_, request_, tried_upstreams_, record_.executions == 0);
+        state_, request_, tried_upstreams_, limit_queue_length);
     query.restricted = state_.statements.restricted();
     query.software = required_software();
     if (request_.route->is_resumable_stream())
