--- a/src/serving/running_processes.hpp
+++ b/src/serving/running_processes.hpp
@@ -1,5 +1,5 @@
-// When the current process of each upstream was last known to run, which tells
-// whether a connection leads to the process that the list describes.
+// Decides whether a connection leads to the process of an upstream that the
+// list describes.
 #ifndef WAGTAILSEAM_SERVING_RUNNING_PROCESSES_HPP
 #define WAGTAILSEAM_SERVING_RUNNING_PROCESSES_HPP
 
@@ -12,10 +12,11 @@
 namespace wagtailseam::serving
 {
 
-/// An upstream may restart under its id and at its address, so an entry of the
-/// list that was read before a connection was established does not tell which
-/// process accepted it. It was the listed one if that one still ran afterwards.
-/// Not thread-safe. Complexity: logarithmic in the number of upstreams.
+/// Stores the latest time at which the process of each upstream is known to
+/// have run. A restarted upstream keeps its id and its address, and its entry
+/// in the list may be older than a connection. The listed process accepted a
+/// connection if it still ran after that. Not thread-safe. Complexity:
+/// logarithmic in the number of upstreams.
 class running_processes
 {
 public:
