--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -6,7 +6,6 @@
 import pathlib
 import random
 import shutil
-import socket
 import subprocess
 import sys
 import tempfile
@@ -54,11 +53,6 @@
         return f"{self.net}.{self.last}"
 
 
-def free_port(ip):
-    with socket.create_server((ip, 0)) as listener:
-        return listener.getsockname()[1]
-
-
 class Machine:
     """A machine with one program of the deploy file."""
 
@@ -68,7 +62,7 @@
         self.name, self.ip = name, ip
         self.file = folder / f"{name}.yaml"
         self.log = folder / f"{name}.log"
-        ports = random.randint(12000, 30000)
+        ports = random.randint(20002, 30000)
         # JSON is valid YAML.
         self.file.write_text(json.dumps({
             "nodeName": name, "role": role, "ip": ip, "zone": "z1",
@@ -122,8 +116,10 @@
 
     def add_gateway(self, store_address=None):
         ip = self.addresses.next()
-        listen = {"front": f"{ip}:{free_port(ip)}",
-                  "ready": f"{ip}:{free_port(ip)}"}
+        # Below the range from which the kernel takes ports. The address is
+        # this machine's own.
+        port = random.randint(12000, 20000)
+        listen = {"front": f"{ip}:{port}", "ready": f"{ip}:{port + 1}"}
         gateway = Machine(
             self.folder, f"front-{len(self.gateways)}", "gateway", ip,
             {"machineClass": "front", "serves": ["front"], "listen": listen,
--- a/review/support/runner.py
+++ b/review/support/runner.py
@@ -28,6 +28,9 @@
         self.state = "ready"
         self.leaving = False
         self.lock = threading.Lock()
+        self.slot_free = threading.Condition(self.lock)
+        # Requests that may wait for a slot, and those that do.
+        self.queue, self.queued = 2, 0
         self.running = 0
         self.started = 0
         # Who made each cached part, by salt and the parts up to it.
@@ -111,7 +114,7 @@
     def report(self):
         return web.Response(200, json.dumps({
             "stage": "prefill_decode", "busy": False, "born": self.born,
-            "sequence": self.orders, "queued": 0, "running": self.running,
+            "sequence": self.orders, "queued": self.queued, "running": self.running,
             "kvUsed": 100, "kvTotal": 60000, "handles": 0, "runs": [],
             "state": self.state,
             "models": [{"name": MODEL, "version": self.version,
@@ -152,8 +155,14 @@
         if request.header("Expect-Version", str(self.version)) != str(
                 self.version):
             return self.refuse(request, 421, "other weights")
+        wait_s = float(request.header("Deadline-Ms", "30000")) / 1000
         with self.lock:
             full = self.running >= self.slots
+            if full and self.queued < self.queue:
+                self.queued += 1
+                full = not self.slot_free.wait_for(
+                    lambda: self.running < self.slots, wait_s)
+                self.queued -= 1
             if not full:
                 self.running += 1
                 self.started += 1
@@ -176,6 +185,7 @@
     def ended(self):
         with self.lock:
             self.running = max(0, self.running - 1)
+            self.slot_free.notify()
 
     def began(self, request):
         """Called as a request begins to run."""
