--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -6,9 +6,11 @@
 import pathlib
 import random
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 
@@ -23,6 +25,7 @@
     "leaseMs": 3000, "thawSlackMs": 300, "versionMs": 8000,
     "versionAllMs": 11000}
 READY_S = 20
+MAX_RUN_S = 110
 
 
 class CannotRun(Exception):
@@ -175,11 +178,24 @@
 
 
 def run_case(case):
-    """Runs a function that returns whether the rule was broken."""
+    """Runs a function that returns whether the rule was broken. An error of a
+    stand-in, the end of the time or a signal to stop is no result."""
+    errors = []
+
+    def give_up(number, _):
+        raise CannotRun(f"signal {number}")
+
+    threading.excepthook = lambda arguments: errors.append(
+        repr(arguments.exc_value))
+    signal.signal(signal.SIGTERM, give_up)
+    signal.signal(signal.SIGALRM, give_up)
+    signal.alarm(MAX_RUN_S)
     try:
         broken = case()
     except (CannotRun, OSError) as error:
-        print(f"the case could not run: {error}")
+        errors.append(str(error))
+    if errors:
+        print(f"the case could not run: {errors[0]}")
         sys.exit(2)
     print("the rule was broken" if broken else "the rule held")
     sys.exit(1 if broken else 0)
