STARVED: try the suspects of an outage early instead of counting its crashes

Cause: the quarantine counted ended processes. An outage of three or more is three crashes of each part that ran there; the pause before the first trial doubled with each further process, and a request of three crashes was refused for 24 h. Every entry that left the list counted too, also after it had drained. Ruled out: load balancer, retry budget, queue limit (all refusals say quarantined; upstreams were idle and the other kind was served).

Change: evidence is a failed trial. A part of three crashes, a request of two, runs in one request of all gateways at a time, first 1 s (5 s) after its last crash. A completed trial clears it everywhere; failed ones are recorded and repeated after 5 s and 60 s (30 s and 5 min), three in all. Claims of trials cover parts and are released once the outcome is known; without the store the gateways take turns. A process that drains, states that it leaves, or answers for itself after its entry was removed, has not crashed.

--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace wagtailseam::gateway
 {
@@ -80,6 +81,8 @@
           [this](http::exchange& exchange) { return serve_metrics(exchange); }),
       state_updater_(context, state_, [this] { apply_server_limits(); })
 {
+    state_.is_running = [this](serving::upstream entry)
+    { return process_check_.is_running(std::move(entry)); };
     state_updater_.start();
     telemetry::event("started")
         .with("vm", state_.settings.vm)
--- a/src/gateway/crash_registry.cpp
+++ b/src/gateway/crash_registry.cpp
@@ -3,6 +3,9 @@
 
 #include "telemetry/event_log.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace wagtailseam::gateway
 {
 
@@ -10,25 +13,42 @@
 using quarantine::content_fingerprint;
 using quarantine::crash_report;
 using quarantine::crash_suspect;
+using quarantine::process_fate;
 using quarantine::request_content;
+using quarantine::run_purpose;
 using quarantine::suspect_kind;
 using quarantine::upstream_process;
 
-bool crash_registry::record_broken_attempt(
+process_fate crash_registry::record_broken_attempt(
     const upstream_process& process, const request_id& request,
-    const request_content& content)
+    const request_content& content, std::vector<content_fingerprint> trials)
 {
     const auto now = monotonic_clock::now();
-    const broken_attempt attempt{
+    broken_attempt attempt{
         .suspects = completions_.suspects(content, now),
         .broken_at = now,
-        .request = request};
-    const bool ended = attribution_.record_broken_attempt(process, attempt);
-    if (ended)
+        .request = request,
+        .trials = std::move(trials)};
+    // A trial that ends with a crash counts even if the other contents of its
+    // request are the likelier reason.
+    for (const auto& trial : attempt.trials)
+    {
+        const crash_suspect suspect{
+            trial, trial == content.request ? suspect_kind::request
+                                            : suspect_kind::prompt_part};
+        if (std::find(
+                attempt.suspects.begin(), attempt.suspects.end(), suspect) ==
+            attempt.suspects.end())
+        {
+            attempt.suspects.push_back(suspect);
+        }
+    }
+    const auto fate = attribution_.record_broken_attempt(process, attempt);
+    if (fate == process_fate::crashed)
     {
         record_crash(process, attempt, "attempt");
     }
-    return ended;
+    return fate;
 }
 
 void crash_registry::record_crash(
@@ -40,9 +60,14 @@
     bool changed = false;
     for (const auto& suspect : attempt.suspects)
     {
+        const bool is_trial = std::find(
+                                  attempt.trials.begin(), attempt.trials.end(),
+                                  suspect.content) != attempt.trials.end();
         const bool is_new =
             completions_.completed_at(suspect) <= attempt.broken_at &&
-            quarantine_.record_crash(suspect, crash, now, attempt.request);
+            quarantine_.record_crash(
+                suspect, crash, now, attempt.request,
+                is_trial ? run_purpose::trial : run_purpose::regular);
         if (is_new)
         {
             log_restriction(suspect, source);
@@ -80,6 +105,11 @@
     attribution_.record_process_listed(process);
 }
 
+void crash_registry::record_process_leaving(const upstream_process& process)
+{
+    attribution_.record_process_leaving(process, monotonic_clock::now());
+}
+
 void crash_registry::record_completion(const crash_suspect& completed)
 {
     completions_.insert(completed, monotonic_clock::now());
@@ -147,6 +177,7 @@
         .with("kind", name(suspect.kind))
         .with("crashes", record.uncleared_crash_count())
         .with("runs", record.runs.size())
+        .with("failed_trials", record.failed_trial_count())
         .with("source", source)
         .with("for_us", (refusal->until - wall_clock::now()).count())
         .warning();
--- a/src/gateway/crash_registry.hpp
+++ b/src/gateway/crash_registry.hpp
@@ -21,14 +21,17 @@
 public:
     /// Records an attempt without a complete response that a crash of the
     /// upstream's process would explain.
-    /// @return whether the process is known to have ended
-    bool record_broken_attempt(
+    /// @param trials the contents of which the attempt was the trial
+    quarantine::process_fate record_broken_attempt(
         const quarantine::upstream_process& process, const request_id& request,
-        const quarantine::request_content& content);
+        const quarantine::request_content& content,
+        std::vector<quarantine::content_fingerprint> trials = {});
     /// @param source how the end was observed, for the log
     void record_process_end(
         const quarantine::upstream_process& process, std::string_view source);
     void record_process_listed(const quarantine::upstream_process& process);
+    /// Records that a process leaves as planned, so that its end is no crash.
+    void record_process_leaving(const quarantine::upstream_process& process);
     void record_completion(const quarantine::crash_suspect& completed);
     /// Merges a report of another gateway or of the store.
     void merge(const quarantine::crash_report& report, std::string_view source);
--- a/src/gateway/process_check.hpp
+++ b/src/gateway/process_check.hpp
@@ -36,6 +36,11 @@
     asio::awaitable<bool> leads_to_listed_process(
         serving::upstream entry, mono_time connected_at, duration limit);
 
+    /// Asks the upstream of an entry for its report. Returns whether the
+    /// process of the entry answers; an upstream that does not state when its
+    /// process started is trusted.
+    asio::awaitable<bool> is_running(serving::upstream entry);
+
     /// Returns whether the successor of a process is listed. Waits for the next
     /// reads of the list.
     asio::awaitable<bool> wait_until_replaced(
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -119,6 +119,7 @@
     record_request_end(state_, request_, record_);
     co_await report_broken_attempt();
     end_trial();
+    drop_trial_claims(true);
 }
 
 void request_handler::end_for_drain()
@@ -325,15 +326,10 @@
     {
         co_return false;
     }
-    if (needs_trial_claim())
+    while (const auto unclaimed = find_unclaimed_trial())
     {
-        const auto request = request_.content().request;
-        trial_claimed_ = co_await state_.claim_trial(request);
+        co_await claim_trial(*unclaimed);
         end_trial();
-        if (!trial_claimed_)
-        {
-            state_.crashes.quarantine().defer_trial(request, wall_clock::now());
-        }
         // Records may have arrived meanwhile.
         if (!check_quarantine())
         {
@@ -354,15 +350,35 @@
     co_return true;
 }
 
-bool request_handler::needs_trial_claim() const
+std::optional<quarantine::content_fingerprint>
+request_handler::find_unclaimed_trial() const
+{
+    const auto unclaimed = std::find_if(
+        trial_suspects_.begin(), trial_suspects_.end(),
+        [this](const auto& suspect)
+        { return !claimed_trials_.contains(suspect); });
+    return unclaimed == trial_suspects_.end() ? std::nullopt
+                                              : std::optional(*unclaimed);
+}
+
+asio::awaitable<void> request_handler::claim_trial(
+    quarantine::content_fingerprint suspect)
 {
-    const bool is_trial =
-        std::find(
-            trial_suspects_.begin(), trial_suspects_.end(),
-            request_.content().request) != trial_suspects_.end();
-    // A refusal by an upstream does not use the claim up.
-    const bool has_claim = trial_claimed_ && record_.executions == 0;
-    return is_trial && !has_claim;
+    const auto outcome = co_await state_.claim_trial(suspect);
+    auto& quarantine = state_.crashes.quarantine();
+    const auto now = wall_clock::now();
+    const bool may_run =
+        outcome == quarantine::claim_outcome::claimed ||
+        (outcome == quarantine::claim_outcome::unavailable &&
+         quarantine.may_try_unclaimed(suspect, request_.content(), now));
+    if (may_run)
+    {
+        claimed_trials_.insert(suspect);
+    }
+    else
+    {
+        quarantine.defer_trial(suspect, now);
+    }
 }
 
 bool request_handler::check_quarantine()
@@ -388,29 +404,65 @@
     state_.crashes.quarantine().end_trial(std::exchange(trial_suspects_, {}));
 }
 
+void request_handler::drop_trial_claims(bool outcome_known)
+{
+    for (const auto& content : std::exchange(claimed_trials_, {}))
+    {
+        if (outcome_known)
+        {
+            state_.release_trial(content);
+        }
+    }
+}
+
 asio::awaitable<void> request_handler::report_broken_attempt()
 {
     const auto broken = std::exchange(broken_attempt_, std::nullopt);
-    // An attempt that this process ended says nothing about the upstream.
-    if (!broken || ended_by_drain_)
+    if (!broken)
     {
         co_return;
     }
-    const quarantine::upstream_process process{
-        broken->upstream.id, broken->upstream.started_ms};
-    const bool known_to_have_ended = state_.crashes.record_broken_attempt(
-        process, request_.call.id, request_.content());
-    // A crashed process that does not even refuse connections is recognized
-    // when its successor is listed.
-    if (known_to_have_ended || broken->timed_out)
+    const bool outcome_known =
+        co_await explain_broken_attempt(broken->upstream, broken->timed_out);
+    drop_trial_claims(outcome_known);
+}
+
+asio::awaitable<bool> request_handler::explain_broken_attempt(
+    const serving::upstream& upstream, bool timed_out)
+{
+    // An attempt that this process ended says nothing about the upstream.
+    if (ended_by_drain_)
     {
-        co_return;
+        co_return true;
+    }
+    const auto process = serving::process_of(upstream);
+    if (state_.statements.is_leaving(process))
+    {
+        state_.crashes.record_process_leaving(process);
     }
-    const bool closed = co_await http::is_port_closed(broken->upstream.address);
+    const auto fate = state_.crashes.record_broken_attempt(
+        process, request_.call.id, request_.content(), trial_suspects_);
+    if (fate != quarantine::process_fate::unknown)
+    {
+        co_return true;
+    }
+    if (timed_out)
+    {
+        // A crashed process that does not even refuse connections is recognized
+        // when its successor is listed.
+        bool is_running = false;
+        if (!trial_suspects_.empty())
+        {
+            is_running = co_await process_check_.is_running(upstream);
+        }
+        co_return is_running;
+    }
+    const bool closed = co_await http::is_port_closed(upstream.address);
     if (closed)
     {
         state_.crashes.record_process_end(process, "refused_connection");
     }
+    co_return true;
 }
 
 asio::awaitable<bool> request_handler::wait_for_upstream()
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -140,13 +140,23 @@
     /// Returns whether the request's crash record allows it to run, and begins
     /// the trial of a suspect. Otherwise sets the result code.
     [[nodiscard]] bool check_quarantine();
-    /// Returns whether the attempt is a trial that this gateway has to claim.
-    [[nodiscard]] bool needs_trial_claim() const;
+    /// Returns a content of which the attempt is a trial that may not run yet,
+    /// because no gateway or another one claimed it.
+    [[nodiscard]] std::optional<quarantine::content_fingerprint>
+    find_unclaimed_trial() const;
+    /// Claims a trial, or defers it if that fails.
+    asio::awaitable<void> claim_trial(quarantine::content_fingerprint suspect);
     /// Ends the trial of a suspect.
     void end_trial();
+    /// Forgets the claims of the trials. They are released unless their outcome
+    /// is unknown: then a crash may become known later.
+    void drop_trial_claims(bool outcome_known);
     /// Records that the attempt broke off, and finds out whether its upstream
-    /// has crashed.
+    /// has crashed. Uses the claims of its trials up.
     asio::awaitable<void> report_broken_attempt();
+    /// @return whether it is known why the attempt broke off
+    asio::awaitable<bool> explain_broken_attempt(
+        const serving::upstream& upstream, bool timed_out);
     asio::awaitable<void> send_local_response(
         unsigned status, result_code code, duration retry_after);
     /// Responds to a request that is not accepted.
@@ -246,8 +256,8 @@
     std::string failure_detail_;
     /// The contents of which the current attempt is a trial.
     std::vector<quarantine::content_fingerprint> trial_suspects_;
-    /// Whether this request holds the claim of its trial.
-    bool trial_claimed_ = false;
+    /// The contents whose trial this request may run.
+    std::set<quarantine::content_fingerprint> claimed_trials_;
     bool caller_disconnected_ = false;
     /// Whether this process stops before the attempt is finished.
     bool ended_by_drain_ = false;
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -9,6 +9,7 @@
 #include "gateway/statement_registry.hpp"
 #include "gateway/stream_origins.hpp"
 #include "platform/settings_file.hpp"
+#include "quarantine/trial_claim.hpp"
 #include "retry/retry_budget.hpp"
 #include "serving/cache_view.hpp"
 #include "serving/load_balancer.hpp"
@@ -62,12 +63,19 @@
     crash_registry crashes;
     drain_state drain;
     stream_origins streams;
-    /// Claims the only trial of a suspect request among all gateways. Returns
-    /// whether this gateway may run it.
-    std::function<boost::asio::awaitable<bool>(
+    /// Claims the only trial of a suspect content among all gateways.
+    std::function<boost::asio::awaitable<quarantine::claim_outcome>(
         const quarantine::content_fingerprint&)>
-        claim_trial = [](const auto&) -> boost::asio::awaitable<bool>
-    { co_return true; };
+        claim_trial =
+            [](const auto&) -> boost::asio::awaitable<quarantine::claim_outcome>
+    { co_return quarantine::claim_outcome::claimed; };
+    /// Gives a claim up before it expires, because the outcome of the trial is
+    /// known.
+    std::function<void(const quarantine::content_fingerprint&)> release_trial =
+        [](const auto&) {};
+    /// Asks an upstream whether the process of an entry is running.
+    std::function<boost::asio::awaitable<bool>(serving::upstream)> is_running =
+        [](auto) -> boost::asio::awaitable<bool> { co_return false; };
     /// Retry budgets by service.
     std::map<serving::service_id, retry::retry_budget> retry_budgets;
     telemetry::metrics metrics;
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -425,8 +425,12 @@
         auto entry = platform::decode_upstream_row(row);
         if (entry)
         {
-            state_.crashes.record_process_listed(
-                {entry->id, entry->started_ms});
+            const auto process = serving::process_of(*entry);
+            state_.crashes.record_process_listed(process);
+            if (entry->draining)
+            {
+                state_.crashes.record_process_leaving(process);
+            }
         }
         if (entry && whole_table)
         {
@@ -467,18 +471,39 @@
         .with("grace_us", removal_grace_period().count());
     const auto removed = state_.upstreams.remove(
         id, removal_grace_period(), monotonic_clock::now());
-    // A silent crash without a successor shows only here. An upstream that
-    // drains is removed as well, but completes its requests.
     if (removed && !list_recovering())
     {
         state_.upstreams.confirm_departure(removed->id);
-        state_.crashes.record_process_end(
-            {removed->id, removed->started_ms}, "unlisted");
-        state_.statements.erase({removed->id, removed->started_ms});
+        state_.statements.erase(serving::process_of(*removed));
         state_.processes.erase(removed->id);
+        asio::co_spawn(context_, classify_removal(*removed), asio::detached);
     }
 }
 
+asio::awaitable<void> state_updater::classify_removal(serving::upstream removed)
+{
+    // Some upstreams leave without draining, and run for a while after that. A
+    // silent crash without a successor shows only here.
+    bool leaves = removed.draining;
+    if (!leaves)
+    {
+        leaves = co_await state_.is_running(removed);
+    }
+    const auto process = serving::process_of(removed);
+    if (leaves)
+    {
+        state_.crashes.record_process_leaving(process);
+    }
+    else
+    {
+        state_.crashes.record_process_end(process, "unlisted");
+    }
+    telemetry::event("upstream_removal_classified")
+        .with("upstream", removed.id)
+        .with("draining", removed.draining ? 1 : 0)
+        .with("cause", leaves ? "leaves" : "ended");
+}
+
 void state_updater::replace_upstreams(
     std::vector<serving::upstream> listed, bool restored)
 {
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -71,6 +71,9 @@
     void apply_upstream_rows(
         const platform::row_set& rows, platform::row_scope scope);
     void remove_upstream(const upstream_id& id);
+    /// Finds out whether an upstream that was removed from the list has ended
+    /// or leaves as planned.
+    asio::awaitable<void> classify_removal(serving::upstream removed);
     /// @param restored whether the list was read after the store was restored
     void replace_upstreams(
         std::vector<serving::upstream> listed, bool restored);
--- a/src/gateway/trial_claims.hpp
+++ b/src/gateway/trial_claims.hpp
@@ -1,4 +1,4 @@
-// Claims trials of requests that may crash upstreams, in the row store.
+// Claims trials of contents that may crash upstreams, in the row store.
 #ifndef WAGTAILSEAM_GATEWAY_TRIAL_CLAIMS_HPP
 #define WAGTAILSEAM_GATEWAY_TRIAL_CLAIMS_HPP
 
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -33,18 +34,26 @@
     void start();
 
     /// Claims the trial of a content for this gateway.
-    /// @return whether this gateway may run the trial now
-    asio::awaitable<bool> claim(quarantine::content_fingerprint content);
+    asio::awaitable<quarantine::claim_outcome> claim(
+        quarantine::content_fingerprint content);
+    /// Removes a claim of this gateway in the background; nothing if it has
+    /// none. A claim that cannot be removed expires.
+    void release(const quarantine::content_fingerprint& content);
 
 private:
-    struct claim_outcome
+    struct written_claim
     {
-        bool claimed = false;
+        quarantine::claim_outcome outcome =
+            quarantine::claim_outcome::unavailable;
+        /// Of the row, if it was written.
+        platform::store_version version;
         /// Why not, for the log.
         std::string detail;
     };
 
-    asio::awaitable<claim_outcome> write_claim(std::string key);
+    asio::awaitable<written_claim> write_claim(std::string key);
+    asio::awaitable<void> remove_claim(
+        std::string key, platform::store_version expected);
     /// @return the claim that stands in the way; nullopt if there is none, also
     ///         after a row that cannot be read was logged
     [[nodiscard]] static std::optional<quarantine::trial_claim> find_holder(
@@ -54,6 +63,9 @@
     asio::io_context& context_;
     shared_state& state_;
     platform::row_store_client& row_store_;
+    /// Versions of the rows of this gateway's claims. Those that were not
+    /// released have expired or are replaced by the next claim.
+    std::map<quarantine::content_fingerprint, platform::store_version> held_;
 };
 
 } // namespace wagtailseam::gateway
--- a/src/quarantine/crash_attribution.cpp
+++ b/src/quarantine/crash_attribution.cpp
@@ -20,19 +20,23 @@
     BOOST_ASSERT(options.max_processes >= 1);
 }
 
-bool crash_attribution::record_broken_attempt(
+process_fate crash_attribution::record_broken_attempt(
     const upstream_process& process, const broken_attempt& attempt)
 {
     auto& state = touch(process, attempt.broken_at);
+    if (state.is_leaving)
+    {
+        return process_fate::leaving;
+    }
     if (state.ended_at)
     {
-        return true;
+        return process_fate::crashed;
     }
     if (state.attempts.size() < options_.max_attempts_per_process)
     {
         state.attempts.push_back(attempt);
     }
-    return false;
+    return process_fate::unknown;
 }
 
 process_end crash_attribution::record_process_end(
@@ -51,6 +55,14 @@
     return end;
 }
 
+void crash_attribution::record_process_leaving(
+    const upstream_process& process, mono_time now)
+{
+    auto& state = touch(process, now);
+    state.is_leaving = true;
+    state.attempts.clear();
+}
+
 void crash_attribution::record_process_listed(const upstream_process& process)
 {
     const auto found = processes_.find(process);
--- a/src/quarantine/crash_attribution.hpp
+++ b/src/quarantine/crash_attribution.hpp
@@ -54,11 +54,23 @@
     std::vector<crash_suspect> suspects;
     mono_time broken_at;
     request_id request{};
+    /// The suspects of which the attempt was the only run in the fleet.
+    std::vector<content_fingerprint> trials;
 
     friend bool operator==(const broken_attempt&, const broken_attempt&) =
         default;
 };
 
+/// What is known of the process of a broken attempt.
+enum class process_fate : std::uint8_t
+{
+    /// It may still be running; the attempt is stored.
+    unknown,
+    crashed,
+    /// It leaves as planned, so that its end is no crash.
+    leaving,
+};
+
 /// What the end of a process reveals.
 struct process_end
 {
@@ -76,15 +88,17 @@
 public:
     explicit crash_attribution(const crash_attribution_options& options = {});
 
-    /// @return whether the process is known to have ended; the attempt is then
-    ///         not stored
-    [[nodiscard]] bool record_broken_attempt(
+    [[nodiscard]] process_fate record_broken_attempt(
         const upstream_process& process, const broken_attempt& attempt);
 
-    /// Records that a process has ended.
+    /// Records that a process has ended. The end of a process that leaves
+    /// reveals no attempts.
     [[nodiscard]] process_end record_process_end(
         const upstream_process& process, mono_time now);
 
+    /// Records that a process leaves as planned.
+    void record_process_leaving(const upstream_process& process, mono_time now);
+
     /// Records that the platform lists a process, so that it has not ended.
     void record_process_listed(const upstream_process& process);
 
@@ -94,6 +108,8 @@
         /// In order of `broken_at`; at most max_attempts_per_process.
         std::vector<broken_attempt> attempts;
         std::optional<mono_time> ended_at;
+        /// Whether it leaves as planned.
+        bool is_leaving = false;
         mono_time updated_at;
     };
 
--- a/src/quarantine/crash_record_cache.cpp
+++ b/src/quarantine/crash_record_cache.cpp
@@ -15,6 +15,8 @@
 using json = nlohmann::json;
 
 constexpr const char* runs_field = "runs";
+/// Rows of records without failed trials lack it.
+constexpr const char* trials_field = "trials";
 /// Rows of requests have no kind.
 constexpr const char* kind_field = "kind";
 
@@ -43,6 +45,16 @@
     return array;
 }
 
+/// Returns the number of ids that are not among the others.
+std::size_t count_missing(
+    const std::set<crash_id>& ids, const std::set<crash_id>& others)
+{
+    const auto count = std::count_if(
+        ids.begin(), ids.end(),
+        [&](const crash_id& id) { return !others.contains(id); });
+    return static_cast<std::size_t>(count);
+}
+
 /// Rows without runs are valid.
 bool read_runs(const json& object, crash_record& record)
 {
@@ -134,16 +146,20 @@
 
 std::size_t crash_record::uncleared_crash_count() const
 {
-    const auto count = std::count_if(
-        crashes.begin(), crashes.end(),
-        [&](const crash_id& id) { return !cleared.contains(id); });
-    return static_cast<std::size_t>(count);
+    return count_missing(crashes, cleared);
+}
+
+std::size_t crash_record::failed_trial_count() const
+{
+    return count_missing(failed_trials, cleared);
 }
 
 bool crash_record::merge(const crash_record& other)
 {
     const crash_record before = *this;
     crashes.insert(other.crashes.begin(), other.crashes.end());
+    failed_trials.insert(
+        other.failed_trials.begin(), other.failed_trials.end());
     cleared.insert(other.cleared.begin(), other.cleared.end());
     runs.insert(other.runs.begin(), other.runs.end());
     prune_runs();
@@ -190,6 +206,10 @@
     {
         row[runs_field] = runs_to_json(record.runs);
     }
+    if (!record.failed_trials.empty())
+    {
+        row[trials_field] = ids_to_json(record.failed_trials);
+    }
     return row.dump();
 }
 
@@ -198,11 +218,13 @@
     const json row = json::parse(value, nullptr, false);
     crash_record record;
     if (!row.is_object() || !read_ids(row, "strikes", record.crashes) ||
-        !read_ids(row, "cleared", record.cleared) || !read_runs(row, record))
+        !read_ids(row, "cleared", record.cleared) || !read_runs(row, record) ||
+        (row.contains(trials_field) &&
+         !read_ids(row, trials_field, record.failed_trials)))
     {
         return fail(
             result_code::malformed_message,
-            "quarantine row lacks valid strikes, cleared or runs");
+            "quarantine row lacks valid strikes, cleared, runs or trials");
     }
     const auto expires = row.find("expires_us");
     if (expires == row.end() || !expires->is_number_integer())
--- a/src/quarantine/crash_record_cache.hpp
+++ b/src/quarantine/crash_record_cache.hpp
@@ -103,6 +103,10 @@
     /// Runs that ended with uncleared crashes, for requests.
     /// @invariant the first max_runs_per_record of those merged
     std::set<crashed_run> runs;
+    /// Crashes that ended a trial, in which no other request with the content
+    /// was running.
+    /// @invariant a subset of `crashes`
+    std::set<crash_id> failed_trials;
     /// Crashes that no longer count against the prompt, because an operator
     /// cleared them or a later run finished.
     std::set<crash_id> cleared;
@@ -110,6 +114,9 @@
 
     /// Returns the number of crashes that are not cleared.
     [[nodiscard]] std::size_t uncleared_crash_count() const;
+    /// Returns the number of trials since the last completion that ended with a
+    /// crash.
+    [[nodiscard]] std::size_t failed_trial_count() const;
     /// Adds a run that ended with a crash. @return whether it was unknown
     bool add_run(const crashed_run& run);
     /// Merges the other record into this one. @return whether this one changed.
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -31,11 +31,11 @@
     : options_(options), records_(options.max_records)
 {
     BOOST_ASSERT(options.crashes_to_suspect >= 1);
-    BOOST_ASSERT(options.crashes_to_suspect <= options.crashes_to_quarantine);
+    BOOST_ASSERT(options.crashes_to_suspect <= options.crashes_to_suspect_part);
     BOOST_ASSERT(options.runs_to_suspect <= max_runs_per_record);
-    BOOST_ASSERT(options.trial_delay <= options.record_lifetime);
     BOOST_ASSERT(
-        options.max_crashes_per_record <= options.crashes_to_quarantine + 16);
+        options.request_trial_delays.back() <= options.record_lifetime);
+    BOOST_ASSERT(options.part_trial_delays.back() <= options.record_lifetime);
 }
 
 prompt_status request_quarantine::check(
@@ -57,30 +57,14 @@
     {
         return unrestricted{};
     }
-    const auto crashes = record->uncleared_crash_count();
-    if (crashes >= options_.crashes_to_quarantine)
-    {
-        return quarantined{record->expires, request};
-    }
-    if (crashes < options_.crashes_to_suspect &&
+    if (record->uncleared_crash_count() < options_.crashes_to_suspect &&
         record->runs.size() < options_.runs_to_suspect)
     {
         return unrestricted{};
     }
-    auto next_trial = last_crash(*record) + options_.trial_delay;
-    const auto deferred = deferred_trials_.find(request);
-    if (deferred != deferred_trials_.end())
-    {
-        next_trial = std::max(next_trial, deferred->second);
-    }
-    if (now < next_trial)
-    {
-        return quarantined{next_trial, request};
-    }
-    // A trial either clears the record or crashes within the trial delay.
-    return trials_.contains(request)
-               ? prompt_status(quarantined{now + options_.trial_delay, request})
-               : prompt_status(suspect{});
+    return check_trial(
+        request, next_trial(*record, options_.request_trial_delays),
+        options_.request_trial_time, now);
 }
 
 prompt_status request_quarantine::check_part(
@@ -89,24 +73,44 @@
 {
     const crash_record* const record = records_.find(part);
     if (record == nullptr || record->expires <= now ||
-        record->uncleared_crash_count() < options_.crashes_to_quarantine)
+        record->uncleared_crash_count() < options_.crashes_to_suspect_part)
     {
         return unrestricted{};
     }
-    const auto next_trial = next_part_trial(*record);
-    const bool may_be_tried = is_explained(*record, content) ||
-                              (now >= next_trial && is_own_turn(now));
-    if (!may_be_tried)
+    const auto trial_at = is_explained(*record, content)
+                              ? now
+                              : next_trial(*record, options_.part_trial_delays);
+    return check_trial(part, trial_at, options_.part_trial_time, now);
+}
+
+prompt_status request_quarantine::check_trial(
+    const content_fingerprint& content, wall_time next_trial,
+    duration trial_time, wall_time now) const
+{
+    const auto deferred = deferred_trials_.find(content);
+    if (deferred != deferred_trials_.end())
+    {
+        next_trial = std::max(next_trial, deferred->second);
+    }
+    if (now < next_trial)
     {
-        return quarantined{
-            std::max(next_trial, now + options_.turn_length), part};
+        return quarantined{next_trial, content};
     }
-    return trials_.contains(part)
-               ? prompt_status(
-                     quarantined{now + options_.explained_trial_time, part})
+    // A trial either clears the record or adds a crash to it.
+    return trials_.contains(content)
+               ? prompt_status(quarantined{now + trial_time, content})
                : prompt_status(suspect{});
 }
 
+wall_time request_quarantine::next_trial(
+    const crash_record& record,
+    const std::array<duration, max_trials>& delays) const
+{
+    const auto failed = record.failed_trial_count();
+    return failed < delays.size() ? last_crash(record) + delays.at(failed)
+                                  : record.expires;
+}
+
 bool request_quarantine::is_explained(
     const crash_record& part, const request_content& content) const
 {
@@ -116,7 +120,7 @@
         {
             const auto& [other, record] = entry;
             if (record.uncleared_crash_count() <
-                    options_.crashes_to_quarantine ||
+                    options_.crashes_to_suspect_part ||
                 std::find(content.parts.begin(), content.parts.end(), other) !=
                     content.parts.end())
             {
@@ -135,14 +139,6 @@
         });
 }
 
-wall_time request_quarantine::next_part_trial(const crash_record& record) const
-{
-    const auto further_crashes =
-        record.uncleared_crash_count() - options_.crashes_to_quarantine;
-    return last_crash(record) +
-           options_.part_trial_delay * (std::int64_t{1} << further_crashes);
-}
-
 bool request_quarantine::is_own_turn(wall_time now) const
 {
     const auto turns =
@@ -179,14 +175,28 @@
 }
 
 void request_quarantine::defer_trial(
-    const content_fingerprint& request, wall_time now)
+    const content_fingerprint& content, wall_time now)
 {
-    deferred_trials_.insert_or_assign(request, now + options_.trial_delay);
+    const crash_record* const record = records_.find(content);
+    const bool is_part =
+        record != nullptr && record->kind == suspect_kind::prompt_part;
+    deferred_trials_.insert_or_assign(
+        content, now + (is_part ? options_.part_trial_time
+                                : options_.request_trial_time));
+}
+
+bool request_quarantine::may_try_unclaimed(
+    const content_fingerprint& suspect, const request_content& content,
+    wall_time now) const
+{
+    const crash_record* const record = records_.find(suspect);
+    return record != nullptr && record->kind == suspect_kind::prompt_part &&
+           (is_explained(*record, content) || is_own_turn(now));
 }
 
 bool request_quarantine::record_crash(
     const crash_suspect& suspect, const crash_id& crash, wall_time now,
-    const std::optional<request_id>& request)
+    const std::optional<request_id>& request, run_purpose purpose)
 {
     crash_record observed{
         .kind = suspect.kind,
@@ -196,14 +206,21 @@
     {
         observed.add_run(make_crashed_run(crash, *request));
     }
+    if (purpose == run_purpose::trial)
+    {
+        observed.failed_trials.insert(crash);
+    }
     if (const crash_record* const known = records_.find(suspect.content))
     {
+        // Failed trials decide when the next one is, and are few.
         const bool is_full =
-            known->crashes.size() >= options_.max_crashes_per_record;
+            known->crashes.size() >= options_.max_crashes_per_record &&
+            purpose == run_purpose::regular;
         crash_record merged = *known;
         (void)merged.merge(observed);
-        const bool is_new =
-            merged.crashes != known->crashes || merged.runs != known->runs;
+        const bool is_new = merged.crashes != known->crashes ||
+                            merged.runs != known->runs ||
+                            merged.failed_trials != known->failed_trials;
         if (!is_new || is_full)
         {
             return false;
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -9,7 +9,9 @@
 #include "quarantine/crash_attribution.hpp"
 #include "quarantine/crash_report.hpp"
 
+#include <array>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -18,6 +20,10 @@
 namespace wagtailseam::quarantine
 {
 
+/// Late runs that the users' platform accepts of a content that crashes
+/// upstreams.
+inline constexpr std::size_t max_trials = 3;
+
 struct request_quarantine_options
 {
     /// Uncleared crashes after which a request may only run as a trial. One
@@ -27,19 +33,25 @@
     /// Runs that ended with uncleared crashes after which a request may only
     /// run as a trial, even if a single upstream crashed under all of them.
     std::size_t runs_to_suspect = 3;
-    /// Uncleared crashes after which a request is refused until the record
-    /// expires, and a part until its trial.
-    std::size_t crashes_to_quarantine = 3;
-    /// Time after a suspect's last crash before its trial. Meanwhile, the
-    /// crashed upstreams restart.
-    duration trial_delay = std::chrono::seconds(5);
-    /// Time after the last crash of a quarantined part before its trial.
-    /// Doubles with each crash beyond crashes_to_quarantine.
-    duration part_trial_delay = std::chrono::seconds(30);
-    /// A trial of an explained part ends within this time, usually.
-    duration explained_trial_time = std::chrono::milliseconds(500);
-    /// The gateways take turns of this length to try quarantined parts, so that
-    /// only one does at a time.
+    /// Uncleared crashes after which a part may only run as a trial.
+    std::size_t crashes_to_suspect_part = 3;
+    /// Times after a suspect's last crash before its trial, by the number of
+    /// its trials that failed. An outage puts sound contents under suspicion,
+    /// so the first trial is early. After the last one, a content that crashes
+    /// upstreams is refused until its record expires.
+    std::array<duration, max_trials> request_trial_delays = {
+        std::chrono::seconds(5), std::chrono::seconds(30),
+        std::chrono::minutes(5)};
+    /// The records of the first crashes reach all gateways before the trial.
+    std::array<duration, max_trials> part_trial_delays = {
+        std::chrono::seconds(1), std::chrono::seconds(5),
+        std::chrono::minutes(1)};
+    /// Time for which a request is refused whose trial another gateway runs.
+    duration request_trial_time = std::chrono::seconds(5);
+    /// The same for a part, which many requests wait for.
+    duration part_trial_time = std::chrono::milliseconds(500);
+    /// While no trial can be claimed, the gateways take turns of this length to
+    /// try parts.
     duration turn_length = std::chrono::seconds(2);
     /// Lifetime of a record after the last crash. A request that returns later
     /// crashes upstreams again until it is recognized.
@@ -51,11 +63,24 @@
     int sends_per_change = 3;
 };
 
-/// A part is quarantined without a pause before: as long as few crashes are
-/// known, parts of many sound requests are under suspicion too. A quarantined
-/// part stays allowed, one request at a time, in requests without another
-/// quarantined content that was running during its crashes and so explains
-/// them. Any other is tried at increasing intervals.
+/// Why a content was running during a crash.
+enum class run_purpose : std::uint8_t
+{
+    regular,
+    trial,
+};
+
+/// Crashes tell neither how many upstreams ended for the same reason nor
+/// whether a content was that reason: an outage of all upstreams condemns
+/// whatever ran there. A content of several crashes is therefore tried, in one
+/// request of all gateways at a time. A completed trial clears it; trials that
+/// end with crashes are repeated at increasing intervals, at most max_trials
+/// times.
+///
+/// A part is suspect from more crashes on than a request: as long as few are
+/// known, parts of many sound requests are under suspicion too. A suspect part
+/// is tried without a pause in requests without another suspect content that
+/// was running during its crashes and so explains them.
 ///
 /// Performs no I/O; not thread-safe. Lookups are logarithmic in the number of
 /// records, and linear for requests with a quarantined part.
@@ -74,9 +99,14 @@
     [[nodiscard]] std::vector<content_fingerprint> begin_trial(
         const request_content& content, wall_time now);
     void end_trial(const std::vector<content_fingerprint>& suspects);
-    /// Refuses a suspect request for the usual delay of a trial, since another
+    /// Refuses a suspect content for the usual time of a trial, since another
     /// gateway may be trying it.
-    void defer_trial(const content_fingerprint& request, wall_time now);
+    void defer_trial(const content_fingerprint& content, wall_time now);
+    /// Returns whether a request may be the trial of a suspect content although
+    /// no gateway can claim it.
+    [[nodiscard]] bool may_try_unclaimed(
+        const content_fingerprint& suspect, const request_content& content,
+        wall_time now) const;
     void set_trial_turn(const fleet_position& turn) noexcept { turn_ = turn; }
 
     /// Records a crash of an upstream that executed the suspect.
@@ -84,7 +114,8 @@
     /// @return whether this crash, or this run, was unknown
     bool record_crash(
         const crash_suspect& suspect, const crash_id& crash, wall_time now,
-        const std::optional<request_id>& request = std::nullopt);
+        const std::optional<request_id>& request = std::nullopt,
+        run_purpose purpose = run_purpose::regular);
     /// Clears the known crashes of a content, since an upstream completed it.
     /// @return whether it had any
     bool record_completion(const content_fingerprint& content);
@@ -132,16 +163,26 @@
     [[nodiscard]] prompt_status check_part(
         const content_fingerprint& part, const request_content& content,
         wall_time now) const;
-    /// Returns whether a quarantined content that is not in the request was
-    /// running during the crashes of the part, but for fewer than
-    /// crashes_to_suspect, during which the part may have run by chance.
+    /// Returns whether a suspect content that is not in the request was running
+    /// during the crashes of the part, but for fewer than crashes_to_suspect,
+    /// during which the part may have run by chance.
     [[nodiscard]] bool is_explained(
         const crash_record& part, const request_content& content) const;
     [[nodiscard]] wall_time last_crash(const crash_record& record) const
     {
         return record.expires - options_.record_lifetime;
     }
-    [[nodiscard]] wall_time next_part_trial(const crash_record& record) const;
+    /// Returns the time of the next trial, or when the record expires if there
+    /// is none.
+    [[nodiscard]] wall_time next_trial(
+        const crash_record& record,
+        const std::array<duration, max_trials>& delays) const;
+    /// Returns the status of a content that may only run as a trial.
+    /// @param trial_time time after which a caller of a content returns that is
+    ///                   being tried
+    [[nodiscard]] prompt_status check_trial(
+        const content_fingerprint& content, wall_time next_trial,
+        duration trial_time, wall_time now) const;
     [[nodiscard]] bool is_own_turn(wall_time now) const;
     /// Returns whether the crashes, cleared or not, suffice to suspect a
     /// request or may soon suffice for a part.
@@ -150,8 +191,8 @@
 
     request_quarantine_options options_;
     crash_record_cache records_;
-    /// Position of this gateway among those that try quarantined parts.
-    /// Unset: this gateway does not know the others, and tries no part.
+    /// Position of this gateway in the turns. Unset: this gateway does not know
+    /// the others, and has no turn.
     std::optional<fleet_position> turn_;
     /// Suspects that this process is running.
     std::set<content_fingerprint> trials_;
--- a/src/quarantine/trial_claim.hpp
+++ b/src/quarantine/trial_claim.hpp
@@ -6,6 +6,7 @@
 #include "core/ids.hpp"
 #include "core/result.hpp"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,16 @@
 /// and the difference between the clocks of gateways.
 inline constexpr duration trial_claim_time = std::chrono::seconds(30);
 
+/// Whether a gateway may run a trial.
+enum class claim_outcome : std::uint8_t
+{
+    claimed,
+    /// Another gateway, or another request of this one, runs it.
+    held,
+    /// The store that holds the claims does not answer.
+    unavailable,
+};
+
 /// Each content has at most one claim, so that the gateways, whose callers
 /// return at the same time, together make one trial.
 struct trial_claim
