LOST: decide record and missing record of a stream on the same facts

Cause: the gateway that began a stream asked the regime of its service whether a record is needed (a single version: no), the one that took it up asked the route whether a missing record says anything (several services: no). On a split route both said no. Ruled out: the read of the records (log: outcome=unknown, not failed), budget, upstreams.

Same class, by tests of our own: streams from before a split; a moved route, where 24 of 24 streams were continued by other software (ORDER); a restarted gateway that dropped the streams it had adopted from its row.

Change: route_services keeps the services that each route had in the last 20 s. Streams are recorded while the route has several, and after a change; streams that run at the change or when the regime ends are added to the record. A stream without one began at a service that was the only one of its route; if these have one version between them it goes on there. If its service has left the route, at another one with the same version, else it is refused.

Conclusion: a reader refuses only what several versions may have begun.

--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -92,6 +92,10 @@
     /// Finds the software version that began the stream. Otherwise sets the
     /// result code.
     asio::awaitable<bool> find_stream_origin();
+    /// Returns the service that may continue a stream of a known version;
+    /// nullopt if the route was moved and no service of it has that version.
+    [[nodiscard]] std::optional<serving::service_id> find_continuing_service(
+        const stream_origin::origin& begun_by) const;
     /// Returns the request that brought the stream's first event.
     [[nodiscard]] const request_id& stream_id() const;
     /// Returns whether the software version that began the stream is known, or
--- a/src/gateway/request_handler_streams.cpp
+++ b/src/gateway/request_handler_streams.cpp
@@ -85,21 +85,45 @@
         record_.code = result_code::stream_origin_unknown;
         co_return false;
     }
-    const auto& services = request_.route->services;
-    const bool is_routed = std::any_of(
-        services.begin(), services.end(),
-        [&](const auto& share)
-        { return share.service == known->begun_by.service; });
-    if (!is_routed)
+    const auto service = find_continuing_service(known->begun_by);
+    if (!service)
     {
         record_.code = result_code::software_version_gone;
         co_return false;
     }
-    stream_origin_ = known->begun_by;
-    request_.service = known->begun_by.service;
+    stream_origin_ = stream_origin::origin{
+        .service = *service, .version = known->begun_by.version};
+    request_.service = *service;
     co_return true;
 }
 
+std::optional<serving::service_id> request_handler::find_continuing_service(
+    const stream_origin::origin& begun_by) const
+{
+    const auto now = monotonic_clock::now();
+    const auto& services = request_.route->services;
+    const bool is_routed = std::any_of(
+        services.begin(), services.end(),
+        [&](const auto& share) { return share.service == begun_by.service; });
+    // A configuration that this gateway has not read yet may have allowed the
+    // service.
+    if (is_routed || !state_.streams.routes.is_replaced(
+                         *request_.route, begun_by.service, now))
+    {
+        return begun_by.service;
+    }
+    const auto same_version = std::find_if(
+        services.begin(), services.end(),
+        [&](const auto& share)
+        {
+            return state_.upstreams.serves_version(
+                share.service, *begun_by.version, now);
+        });
+    return same_version == services.end()
+               ? std::nullopt
+               : std::optional(same_version->service);
+}
+
 bool request_handler::may_continue_stream() const
 {
     return !stream_origin_ || stream_origin_->version;
@@ -156,7 +180,8 @@
 {
     auto& streams = state_.streams;
     const stream_origin::origin unknown{.service = target.entry.service};
-    streams.open.begin(stream_id(), unknown);
+    (void)streams.begin(
+        stream_id(), unknown, *request_.route, monotonic_clock::now());
     // Other gateways would take a stream without a record for one of the single
     // version.
     const bool recorded =
@@ -185,8 +210,9 @@
             .service = target.entry.service, .version = target.entry.software};
     }
     auto& streams = state_.streams;
-    streams.open.begin(stream_id(), *stream_origin_);
-    if (streams.needs_record(*stream_origin_))
+    const bool needs_record = streams.begin(
+        stream_id(), *stream_origin_, *request_.route, monotonic_clock::now());
+    if (needs_record)
     {
         // A stream whose version is known is not held back while the store does
         // not answer: then another gateway cannot resume it, which costs less.
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -375,6 +375,7 @@
         }
     }
     state_.routes = received;
+    stream_origin_sync_.apply_routes(config.routes);
     on_new_configuration_();
     telemetry::event("configuration_in_force")
         .with("number", config.number)
--- a/src/gateway/stream_origin_sync.cpp
+++ b/src/gateway/stream_origin_sync.cpp
@@ -77,13 +77,33 @@
                 set_regime(
                     service, stream_origin::unknown_regime{}, "store_restored");
             }
-            recorded_additions_ = 0;
-            record_changed_.cancel();
+            rewrite_record();
         });
     asio::co_spawn(context_, write_records(), asio::detached);
     asio::co_spawn(context_, follow_regimes(), asio::detached);
 }
 
+void stream_origin_sync::apply_routes(const std::vector<serving::route>& routes)
+{
+    const auto now = monotonic_clock::now();
+    auto& streams = state_.streams;
+    streams.routes.set(routes, now);
+    const bool any_new = streams.open.mark_recorded(
+        [&](const auto& route, const auto& begun_by)
+        { return streams.routes.needs_record(route, begun_by.service, now); });
+    if (any_new)
+    {
+        telemetry::event("stream_record_due").with("cause", "routes");
+        rewrite_record();
+    }
+}
+
+void stream_origin_sync::rewrite_record()
+{
+    recorded_additions_ = 0;
+    record_changed_.cancel();
+}
+
 asio::awaitable<void> stream_origin_sync::sleep_for(duration time)
 {
     asio::steady_timer timer(context_, time);
@@ -100,7 +120,7 @@
 
 origin_lookup stream_origin_sync::find_origin(
     const pending_read& read, const request_id& stream,
-    const serving::route& route)
+    const serving::route& route) const
 {
     if (!read.rows)
     {
@@ -114,24 +134,29 @@
                    ? origin_lookup(origin_known{record->second, "record"})
                    : origin_unknown{};
     }
-    // A request may have been routed to any of several services.
-    if (route.services.size() != 1)
-    {
-        return origin_unknown{};
-    }
-    const auto& service = route.services.front().service;
-    const auto regime = rows.regimes.find(service);
-    if (regime == rows.regimes.end())
-    {
-        return origin_unknown{};
-    }
-    const auto* const single =
-        std::get_if<stream_origin::single_version>(&regime->second);
-    if (single == nullptr)
-    {
-        return origin_unknown{};
+    return find_unrecorded_origin(rows.regimes, route);
+}
+
+origin_lookup stream_origin_sync::find_unrecorded_origin(
+    const regime_map& regimes, const serving::route& route) const
+{
+    std::optional<stream_origin::origin> found;
+    for (const auto& service :
+         state_.streams.routes.candidates(route, monotonic_clock::now()))
+    {
+        const auto regime = regimes.find(service);
+        const auto* const single =
+            regime == regimes.end()
+                ? nullptr
+                : std::get_if<stream_origin::single_version>(&regime->second);
+        if (single == nullptr || (found && found->version != single->version))
+        {
+            return origin_unknown{};
+        }
+        found = stream_origin::origin{service, single->version};
     }
-    return origin_known{{service, single->version}, "regime"};
+    return found ? origin_lookup(origin_known{*found, "regime"})
+                 : origin_unknown{};
 }
 
 asio::awaitable<std::shared_ptr<const stream_origin_sync::pending_read>>
@@ -269,6 +294,8 @@
         .with("to", stream_origin::name(regime))
         .with("cause", cause);
     tracker->second.set_regime(regime);
+    // Streams without a record began under a single version.
+    rewrite_record();
 }
 
 duration stream_origin_sync::write_interval() const
@@ -363,11 +390,9 @@
 
 stream_origin::origin_map stream_origin_sync::streams_to_record() const
 {
-    auto origins = state_.streams.open.origins();
-    std::erase_if(
-        origins, [this](const auto& stream)
-        { return !state_.streams.needs_record(stream.second); });
-    return origins;
+    return state_.streams.open.origins_to_record(
+        [this](const auto& begun_by)
+        { return state_.streams.needs_record(begun_by); });
 }
 
 asio::awaitable<void> stream_origin_sync::write_record()
--- a/src/gateway/stream_origin_sync.hpp
+++ b/src/gateway/stream_origin_sync.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace wagtailseam::gateway
 {
@@ -41,6 +42,10 @@
 
     void start();
 
+    /// Applies the routes of a configuration. Records the open streams of
+    /// routes whose services changed.
+    void apply_routes(const std::vector<serving::route>& routes);
+
 private:
     using regime_map =
         std::map<serving::service_id, stream_origin::version_regime>;
@@ -67,9 +72,13 @@
 
     asio::awaitable<origin_lookup> look_up(
         request_id stream, serving::route route);
-    [[nodiscard]] static origin_lookup find_origin(
+    [[nodiscard]] origin_lookup find_origin(
         const pending_read& read, const request_id& stream,
-        const serving::route& route);
+        const serving::route& route) const;
+    /// Returns the origin of a stream without a record, if all services that
+    /// may have begun it have the same single version.
+    [[nodiscard]] origin_lookup find_unrecorded_origin(
+        const regime_map& regimes, const serving::route& route) const;
     /// Returns a read that began after the call.
     asio::awaitable<std::shared_ptr<const pending_read>> wait_for_read();
     asio::awaitable<void> run_reads();
@@ -87,6 +96,8 @@
     /// Takes over the streams that the previous incarnation recorded.
     asio::awaitable<bool> adopt_own_record();
     asio::awaitable<void> write_record();
+    /// Writes the record soon, although no stream was added.
+    void rewrite_record();
     [[nodiscard]] stream_origin::origin_map streams_to_record() const;
     [[nodiscard]] duration write_interval() const;
 
--- a/src/gateway/stream_origins.hpp
+++ b/src/gateway/stream_origins.hpp
@@ -6,6 +6,7 @@
 #include "core/ids.hpp"
 #include "serving/configuration.hpp"
 #include "stream_origin/open_streams.hpp"
+#include "stream_origin/route_services.hpp"
 #include "stream_origin/version_regime.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -51,6 +52,8 @@
 {
     /// The streams of this gateway.
     stream_origin::open_streams open;
+    /// The services of the routes of resumable streams.
+    stream_origin::route_services routes;
     /// Regimes of the services to which resumable streams are routed.
     std::map<serving::service_id, stream_origin::regime_tracker> regimes;
     /// Reads the records of all gateways and finds the origin of a stream that
@@ -68,9 +71,15 @@
         wait_until_recorded = [](auto) -> boost::asio::awaitable<bool>
     { co_return true; };
 
-    /// Returns whether a stream that begins at this origin has to be recorded.
+    /// Returns whether the regime of its service requires a record of a stream
+    /// that begins at this origin.
     [[nodiscard]] bool needs_record(
         const stream_origin::origin& begun_by) const;
+    /// Adds a stream to the open ones.
+    /// @return whether other gateways find it only in the record
+    bool begin(
+        const request_id& stream, const stream_origin::origin& begun_by,
+        const serving::route& route, mono_time now);
     /// Returns the version at which new streams of a service begin while one of
     /// its upstreams is available; nullopt: any.
     [[nodiscard]] std::optional<serving::software_version> begins_at(
--- a/src/stream_origin/open_streams.cpp
+++ b/src/stream_origin/open_streams.cpp
@@ -103,9 +103,11 @@
 {
 }
 
-void open_streams::begin(const request_id& id, const origin& begun_by)
+void open_streams::begin(
+    const request_id& id, const origin& begun_by, const route_key& route,
+    bool is_recorded)
 {
-    add(id, {.begun_by = begun_by});
+    add(id, {.begun_by = begun_by, .route = route, .is_recorded = is_recorded});
 }
 
 void open_streams::complete(const request_id& id)
@@ -128,8 +130,9 @@
     {
         if (!streams_.contains(id))
         {
-            add(id,
-                {.begun_by = begun_by, .kept_until = now + options_.retention});
+            add(id, {.begun_by = begun_by,
+                     .is_recorded = true,
+                     .kept_until = now + options_.retention});
         }
     }
 }
@@ -167,6 +170,35 @@
     return all;
 }
 
+origin_map open_streams::origins_to_record(
+    const std::function<bool(const origin&)>& needs_record) const
+{
+    origin_map recorded;
+    for (const auto& [id, entry] : streams_)
+    {
+        if (entry.is_recorded || needs_record(entry.begun_by))
+        {
+            recorded.emplace(id, entry.begun_by);
+        }
+    }
+    return recorded;
+}
+
+bool open_streams::mark_recorded(
+    const std::function<bool(const route_key&, const origin&)>& needs_record)
+{
+    bool any_new = false;
+    for (auto& [id, entry] : streams_)
+    {
+        if (!entry.is_recorded && needs_record(entry.route, entry.begun_by))
+        {
+            entry.is_recorded = true;
+            any_new = true;
+        }
+    }
+    return any_new;
+}
+
 void open_streams::add(const request_id& id, stream added)
 {
     erase(id);
--- a/src/stream_origin/open_streams.hpp
+++ b/src/stream_origin/open_streams.hpp
@@ -6,10 +6,12 @@
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "core/result.hpp"
+#include "stream_origin/route_services.hpp"
 #include "stream_origin/stream_origin.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -44,12 +46,18 @@
 
     /// Adds a stream when its first event is forwarded.
     /// @param id the request that brought the stream's first event
-    void begin(const request_id& id, const origin& begun_by);
+    /// @param route the route of that request
+    /// @param is_recorded whether it belongs into the record whatever its
+    /// origin
+    void begin(
+        const request_id& id, const origin& begun_by, const route_key& route,
+        bool is_recorded);
     /// Removes a stream whose last event was forwarded.
     void complete(const request_id& id);
     /// Keeps a stream that broke off for the retention time.
     void break_off(const request_id& id, mono_time now);
     /// Adds the streams of this gateway's previous incarnation as broken off.
+    /// They stay in the record.
     /// Complexity: linear in their number.
     void adopt(const origin_map& recorded, mono_time now);
     /// Removes the streams whose retention time is over. Complexity: linear.
@@ -58,6 +66,15 @@
     [[nodiscard]] std::optional<origin> find(const request_id& id) const;
     /// Returns all streams. Complexity: linear.
     [[nodiscard]] origin_map origins() const;
+    /// Returns the streams that belong into the record, or whose origin has to
+    /// be recorded. Complexity: linear.
+    [[nodiscard]] origin_map origins_to_record(
+        const std::function<bool(const origin&)>& needs_record) const;
+    /// Adds streams to those that belong into the record.
+    /// @return whether there are new ones. Complexity: linear.
+    bool mark_recorded(
+        const std::function<bool(const route_key&, const origin&)>&
+            needs_record);
     /// Returns a number that changes with each stream that is added.
     [[nodiscard]] std::uint64_t additions() const noexcept
     {
@@ -69,6 +86,10 @@
     struct stream
     {
         origin begun_by;
+        /// Empty if a previous incarnation of this gateway forwarded it.
+        route_key route;
+        /// Whether it belongs into the record whatever its origin.
+        bool is_recorded = false;
         /// Position in order_.
         std::uint64_t number = 0;
         /// Unset while it is forwarded.
--- a/src/stream_origin/test/open_streams_test.cpp
+++ b/src/stream_origin/test/open_streams_test.cpp
@@ -27,6 +27,18 @@
 class open_streams_fixture : public testing::Test
 {
 protected:
+    void begin(
+        const request_id& id, const origin& begun_by, bool is_recorded = false)
+    {
+        streams_.begin(id, begun_by, route_key{"h/ask/"}, is_recorded);
+    }
+
+    [[nodiscard]] std::size_t recorded_count() const
+    {
+        return streams_.origins_to_record([](const origin&) { return false; })
+            .size();
+    }
+
     open_streams streams_{{.retention = seconds(20), .max_streams = 2}};
     mono_time now_{seconds(1000)};
 };
@@ -34,7 +46,7 @@
 TEST_F(open_streams_fixture, stream_is_found_from_its_first_event_on)
 {
     EXPECT_FALSE(streams_.find(first));
-    streams_.begin(first, old_origin);
+    begin(first, old_origin);
     EXPECT_EQ(streams_.find(first), old_origin);
     streams_.expire(now_ + std::chrono::hours(1));
     EXPECT_EQ(streams_.find(first), old_origin) << "it is still forwarded";
@@ -42,7 +54,7 @@
 
 TEST_F(open_streams_fixture, complete_stream_is_forgotten)
 {
-    streams_.begin(first, old_origin);
+    begin(first, old_origin);
     streams_.complete(first);
     EXPECT_FALSE(streams_.find(first));
     streams_.complete(second);
@@ -51,7 +63,7 @@
 
 TEST_F(open_streams_fixture, broken_stream_is_kept_for_the_retention_time)
 {
-    streams_.begin(first, old_origin);
+    begin(first, old_origin);
     streams_.break_off(first, now_);
     streams_.expire(now_ + seconds(20) - duration(1));
     EXPECT_EQ(streams_.find(first), old_origin);
@@ -61,16 +73,16 @@
 
 TEST_F(open_streams_fixture, resumed_stream_does_not_expire)
 {
-    streams_.begin(first, old_origin);
+    begin(first, old_origin);
     streams_.break_off(first, now_);
-    streams_.begin(first, old_origin);
+    begin(first, old_origin);
     streams_.expire(now_ + seconds(20));
     EXPECT_EQ(streams_.find(first), old_origin);
 }
 
 TEST_F(open_streams_fixture, adopted_streams_expire_and_replace_none)
 {
-    streams_.begin(first, new_origin);
+    begin(first, new_origin);
     streams_.adopt({{first, old_origin}, {second, old_origin}}, now_);
     EXPECT_EQ(streams_.find(first), new_origin);
     EXPECT_EQ(streams_.find(second), old_origin);
@@ -79,11 +91,39 @@
     EXPECT_FALSE(streams_.find(second));
 }
 
+/// Guards against LOST: a restarted gateway replaced its row by one without the
+/// streams that its previous incarnation had recorded.
+TEST_F(open_streams_fixture, adopted_streams_stay_in_the_record)
+{
+    streams_.adopt({{first, old_origin}}, now_);
+    EXPECT_EQ(recorded_count(), 1U);
+}
+
+TEST_F(open_streams_fixture, stream_belongs_into_the_record_as_decided)
+{
+    begin(first, old_origin, true);
+    begin(second, new_origin);
+    EXPECT_EQ(recorded_count(), 1U);
+    const auto all =
+        streams_.origins_to_record([](const origin&) { return true; });
+    EXPECT_EQ(all.size(), 2U);
+}
+
+TEST_F(open_streams_fixture, stream_is_marked_recorded_once)
+{
+    begin(first, old_origin);
+    const auto changed = [](const route_key& route, const origin&)
+    { return route == route_key{"h/ask/"}; };
+    EXPECT_TRUE(streams_.mark_recorded(changed));
+    EXPECT_FALSE(streams_.mark_recorded(changed));
+    EXPECT_EQ(recorded_count(), 1U);
+}
+
 TEST_F(open_streams_fixture, limit_drops_the_oldest_stream)
 {
-    streams_.begin(first, old_origin);
-    streams_.begin(second, old_origin);
-    streams_.begin(third, new_origin);
+    begin(first, old_origin);
+    begin(second, old_origin);
+    begin(third, new_origin);
     EXPECT_EQ(streams_.size(), 2U);
     EXPECT_FALSE(streams_.find(first));
     EXPECT_EQ(streams_.find(second), old_origin);
@@ -93,7 +133,7 @@
 TEST_F(open_streams_fixture, additions_change_with_each_added_stream_only)
 {
     const auto before = streams_.additions();
-    streams_.begin(first, old_origin);
+    begin(first, old_origin);
     const auto added = streams_.additions();
     EXPECT_NE(added, before);
     streams_.break_off(first, now_);
