WALL: change the shared salt when a workspace becomes isolated

Cause: all workspaces that were not isolated shared one salt for each model and weight version, which stayed the same when one of them was isolated. Ruled out: a gateway without the configuration (4 s later), the engine (checks no workspace).

Change: the salt of the shared workspaces names the set of isolated ones, from the configuration alone. Makers and users of parts under a salt are then outside the set, in any order of changes. A request takes the scope in force when it is sent.

Price: when the set of isolated workspaces changes, shared parts are read again once. Conclusion: isolation holds from the configuration on, without memory.

--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -125,10 +125,10 @@
             .salt = serving::cache_salt{request.call.id.value()},
             .prefill_tokens = total_tokens(prompt)};
     }
-    const serving::workspace shared_workspace;
-    auto salt = serving::make_cache_salt(
-        prompt.model, *weights,
-        request.workspace != nullptr ? *request.workspace : shared_workspace);
+    // A workspace may have become isolated since the request was accepted.
+    const auto scope = state.routes->scope_of(
+        request.workspace != nullptr ? request.workspace->id : workspace_id{});
+    auto salt = serving::make_cache_salt(prompt.model, *weights, scope);
     if (!can_fetch_cached_parts(state, prompt.model, *weights, now))
     {
         return {
--- a/src/serving/cache_view.cpp
+++ b/src/serving/cache_view.cpp
@@ -387,16 +387,16 @@
 }
 
 cache_salt make_cache_salt(
-    const model_id& model, weight_version version, const workspace& owner)
+    const model_id& model, weight_version version, const cache_scope& scope)
 {
     std::string text(salt_prefix);
     text += std::to_string(version.value());
     text += salt_separator;
     text += model.value();
-    if (owner.isolated)
+    if (!scope.value().empty())
     {
         text += salt_separator;
-        text += owner.id.value();
+        text += scope.value();
     }
     return cache_salt{std::move(text)};
 }
@@ -404,7 +404,7 @@
 namespace
 {
 
-/// Returns the version, the model and, if present, the workspace of a salt;
+/// Returns the version, the model and, if present, the scope of a salt;
 /// empty if make_cache_salt did not create it.
 std::vector<std::string_view> salt_fields(const cache_salt& salt)
 {
--- a/src/serving/cache_view.hpp
+++ b/src/serving/cache_view.hpp
@@ -220,9 +220,9 @@
 };
 
 /// Returns the salt of a prompt's parts: it names the weights that compute the
-/// cache, and the workspace if that one is isolated.
+/// cache, and who shares it.
 [[nodiscard]] cache_salt make_cache_salt(
-    const model_id& model, weight_version version, const workspace& owner);
+    const model_id& model, weight_version version, const cache_scope& scope);
 
 /// Returns the model that a salt names, nothing if make_cache_salt did not
 /// create it.
--- a/src/serving/ids.hpp
+++ b/src/serving/ids.hpp
@@ -16,6 +16,9 @@
 /// Namespace of cached parts: an upstream finds a part only with the salt with
 /// which the part was computed.
 using cache_salt = strong_id<struct cache_salt_tag>;
+/// The part of a salt that names who shares cached parts: workspaces with equal
+/// scopes do. Empty while no workspace is isolated.
+using cache_scope = strong_id<struct cache_scope_tag>;
 /// Identifies one run of a cache store's process; its content is lost when the
 /// process restarts.
 using store_epoch = strong_id<struct store_epoch_tag, std::uint64_t>;
--- a/src/serving/test/cache_view_test.cpp
+++ b/src/serving/test/cache_view_test.cpp
@@ -453,23 +453,20 @@
     }
 }
 
-TEST(cache_salt, contains_weight_version_and_isolated_workspace)
+TEST(cache_salt, contains_weight_version_and_scope)
 {
     const model_id model{"m"};
-    const workspace shared_workspace{.id = workspace_id{"w"}};
-    const workspace isolated_workspace{
-        .id = workspace_id{"w"}, .isolated = true};
-    const auto shared =
-        make_cache_salt(model, weight_version{3}, shared_workspace);
+    const cache_scope shared_scope;
+    const cache_scope isolated_scope{"i.w"};
+    const auto shared = make_cache_salt(model, weight_version{3}, shared_scope);
     EXPECT_EQ(version_from_salt(shared), weight_version{3});
     EXPECT_EQ(model_from_salt(shared), model);
+    EXPECT_NE(shared, make_cache_salt(model, weight_version{4}, shared_scope));
     EXPECT_NE(
-        shared, make_cache_salt(model, weight_version{4}, shared_workspace));
-    EXPECT_NE(
-        shared, make_cache_salt(model, weight_version{3}, isolated_workspace));
+        shared, make_cache_salt(model, weight_version{3}, isolated_scope));
     EXPECT_EQ(
         version_from_salt(
-            make_cache_salt(model, weight_version{3}, isolated_workspace)),
+            make_cache_salt(model, weight_version{3}, isolated_scope)),
         weight_version{3});
     EXPECT_FALSE(version_from_salt(cache_salt{"foreign"}));
     EXPECT_FALSE(version_from_salt(cache_salt{"wx.m"}));
