DRAIN: end the use of a removed upstream by the reason of its removal

Cause: for 3 s after a failed read any removed entry stayed in use for 2.5 s, so that lapsed entries could be listed again; with 0.4 s of batching and 0.3 s of sending this is 3.2 s, 2 s are agreed, also for removals after the outage. Ruled out: the batch delay alone (no filing is late without the cut).

Change: removal_grace has a time for each reason. A confirmed removal ends the use 1.3 s after its receipt. A possible lapse extends it to 2.2 s after the end of the outage, at most to 2.7 s after the last failed read began, before which no process can be in step again. Outages under a second lapse nothing; the outages that the operator's table meets count too; after an outage changes come without batching. A reserved attempt is checked again before it is sent.

Conclusion: the last request is bound by the confirmation, a lapse by the outage.

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -217,7 +217,11 @@
         }
         const bool is_paid = next_upstream_.has_value();
         auto target = std::exchange(next_upstream_, std::nullopt);
-        if (!is_paid)
+        // An upstream that was reserved may have left the list meanwhile.
+        const bool must_choose =
+            !target || state_.upstreams.is_leaving(
+                           target->entry.id, monotonic_clock::now());
+        if (must_choose)
         {
             target = choose_upstream();
         }
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -45,10 +45,6 @@
 /// Handlers that start later than this after they were due are reported.
 constexpr std::chrono::milliseconds reported_handler_delay{100};
 constexpr std::chrono::milliseconds store_connect_timeout{300};
-/// The list loses running upstreams while the row store is unavailable. They
-/// are listed again within this time after the store recovers.
-constexpr std::chrono::milliseconds relisting_delay{2500};
-constexpr std::chrono::seconds outage_recovery_time{3};
 /// Part of the resync deadline reserved for recovery after an outage: the 1 s
 /// timeout of a call on an unresponsive connection, the delay before the retry,
 /// and the successful call.
@@ -58,10 +54,6 @@
 /// heartbeat changes it, so changes are batched.
 constexpr std::chrono::seconds upstream_poll_timeout{6};
 constexpr std::chrono::milliseconds upstream_batch_delay{400};
-/// Subtracted from the drain deadline, because changes are delayed by batching
-/// and requests that were already sent arrive later.
-constexpr auto drain_margin =
-    upstream_batch_delay + std::chrono::milliseconds(300);
 
 using operator_change = std::variant<
     std::shared_ptr<const serving::route_table>, serving::weight_target>;
@@ -402,18 +394,27 @@
         .with("version", received.version);
 }
 
-bool state_updater::list_recovering() const
+std::vector<serving::store_outage> state_updater::last_outages(
+    mono_time now) const
 {
-    return monotonic_clock::now() - upstream_table_.last_failure() <
-           outage_recovery_time;
+    std::vector<serving::store_outage> outages;
+    for (const auto* const table : {&upstream_table_, &operator_table_})
+    {
+        if (const auto outage = table->last_outage(now))
+        {
+            outages.push_back(*outage);
+        }
+    }
+    return outages;
 }
 
-duration state_updater::removal_grace_period() const
+serving::removal_grace state_updater::make_removal_grace() const
 {
-    const duration grace_period =
-        state_.settings.bounds.drain_deadline - drain_margin;
-    return list_recovering() ? std::max<duration>(grace_period, relisting_delay)
-                             : grace_period;
+    const auto& bounds = state_.settings.bounds;
+    return serving::removal_grace(
+        {.drain_deadline = bounds.drain_deadline,
+         .resync_deadline = bounds.resync_deadline,
+         .max_delivery_delay = upstream_batch_delay});
 }
 
 void state_updater::apply_upstream_rows(
@@ -467,12 +468,17 @@
 
 void state_updater::remove_upstream(const upstream_id& id)
 {
+    const auto now = monotonic_clock::now();
+    const auto outages = last_outages(now);
+    const auto grace = make_removal_grace();
+    const duration remaining_use = grace.end_of_use(now, outages) - now;
+    const bool may_have_lapsed = grace.may_have_lapsed(now, outages);
     telemetry::event("upstream_unlisted")
         .with("upstream", id)
-        .with("grace_us", removal_grace_period().count());
-    const auto removed = state_.upstreams.remove(
-        id, removal_grace_period(), monotonic_clock::now());
-    if (removed && !list_recovering())
+        .with("cause", may_have_lapsed ? "lapsed" : "removed")
+        .with("grace_us", remaining_use.count());
+    const auto removed = state_.upstreams.remove(id, remaining_use, now);
+    if (removed && !may_have_lapsed)
     {
         state_.upstreams.confirm_departure(removed->id);
         state_.statements.erase(serving::process_of(*removed));
@@ -515,8 +521,11 @@
     telemetry::event("upstreams_read")
         .with("count", listed.size())
         .with("restored", restored ? 1 : 0);
-    handle_ended_processes(state_.upstreams.replace(
-        listed, removal_grace_period(), monotonic_clock::now()));
+    const auto now = monotonic_clock::now();
+    const auto end_of_use =
+        make_removal_grace().end_of_use(now, last_outages(now));
+    handle_ended_processes(
+        state_.upstreams.replace(listed, end_of_use - now, now));
     state_.upstream_list_read = true;
 }
 
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -86,11 +86,12 @@
     /// @param at_startup whether the first read of the table contained it
     void apply_weight_target(
         const serving::weight_target& received, bool at_startup);
-    /// Returns whether the list may lack upstreams that are running, because
-    /// the row store was unavailable until recently.
-    [[nodiscard]] bool list_recovering() const;
-    /// Returns how long an upstream that is no longer listed remains in use.
-    [[nodiscard]] duration removal_grace_period() const;
+    /// Returns the current or last outage as each table shows it. A long poll
+    /// of one may outlast an outage that the other one meets.
+    [[nodiscard]] std::vector<serving::store_outage> last_outages(
+        mono_time now) const;
+    /// Returns how long upstreams that are no longer listed remain in use.
+    [[nodiscard]] serving::removal_grace make_removal_grace() const;
 
     asio::io_context& context_;
     shared_state& state_;
