LOST: look for a request again before an idle connection is closed

Reported: beside a change of idle limits a whole request got no answer; its connection was closed 0.306 s after it was sent.

Cause (suspected to be that of the report): the handler of the idle timer looked at the socket and cancelled the wait, but the coroutine that closes the connection could be queued behind other handlers, such as the decoding of a configuration. A request that arrived in between was closed unread.

Change: the coroutine looks again when it resumes.

Test: request_that_arrives_before_any_handler_of_the_closure_is_answered sends a request before each handler of the closure in turn; failed before (no response after the first handler), passes now.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -431,6 +431,12 @@
     conn.read_timer.cancel();
     if (error && conn.read_timed_out)
     {
+        // Bytes may have arrived since the handler of the timer ran, while
+        // other handlers kept this coroutine waiting.
+        if (peek(socket) == socket_content::bytes)
+        {
+            co_return boost::system::error_code{};
+        }
         co_return beast::error::timeout;
     }
     co_return error;
--- a/src/http/test/idle_connection_test.cpp
+++ b/src/http/test/idle_connection_test.cpp
@@ -112,6 +112,53 @@
     EXPECT_EQ(closures_[0].unread_bytes, 0U);
 }
 
+// Guards against LOST beside a change of idle limits (issue 51): the timer
+// found no request, other handlers kept the process busy, and the connection
+// was closed although the request had arrived by then.
+TEST_F(
+    idle_connection_fixture,
+    request_that_arrives_before_any_handler_of_the_closure_is_answered)
+{
+    bool any_ended = false;
+    for (int handlers = 0; !any_ended; ++handlers)
+    {
+        SCOPED_TRACE(handlers);
+        ASSERT_LT(handlers, 100);
+        tcp::socket caller(context_);
+        caller.connect({asio::ip::address_v4::loopback(), server_.port()});
+        asio::write(caller, asio::buffer(request_text));
+        std::string response(4096, '\0');
+        while (caller.available() == 0)
+        {
+            context_.restart();
+            context_.poll();
+        }
+        (void)caller.read_some(asio::buffer(response));
+        std::this_thread::sleep_for(idle_limit + allowance + milliseconds(5));
+        context_.restart();
+        for (int handler = 0; handler < handlers; ++handler)
+        {
+            context_.poll_one();
+        }
+        // The end of the connection shows at once on loopback.
+        caller.non_blocking(true);
+        boost::system::error_code error;
+        (void)caller.read_some(asio::buffer(response), error);
+        if (error == asio::error::eof)
+        {
+            any_ended = true;
+            continue;
+        }
+        ASSERT_EQ(error, asio::error::would_block);
+        asio::write(caller, asio::buffer(request_text));
+        context_.restart();
+        context_.poll();
+        const auto size = caller.read_some(asio::buffer(response), error);
+        EXPECT_FALSE(error) << error.message();
+        EXPECT_TRUE(response.substr(0, size).starts_with("HTTP/1.1 200"));
+    }
+}
+
 // Guards against LOST of 2026-12-05: a process that was busy closed an idle
 // connection without reading the request that had arrived meanwhile.
 TEST_F(
