Bytes without end: limit the size of reports that are awaited

Cause: the report that a gateway asks for before it forwards a stream of an unknown process was limited to 400 ms, and in bytes only by the client's 16 MB, for each upstream at once.

Change: read_to_end takes a limit; reports have 256 KB.

--- a/src/gateway/process_check.cpp
+++ b/src/gateway/process_check.cpp
@@ -22,6 +22,9 @@
 /// A report that comes too late for one stream still serves the next ones.
 constexpr std::chrono::milliseconds report_timeout{400};
 constexpr std::chrono::milliseconds list_check_interval{5};
+/// A report names each run of its upstream in some dozen bytes. Reports of many
+/// upstreams may be read at once.
+constexpr std::size_t max_report_bytes = std::size_t{256} * 1024;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 
@@ -156,7 +159,8 @@
     pending->sent_at =
         std::max(pending->sent_at, opened.value().connected_at());
     co_return co_await http::read_to_end(
-        std::move(opened).value(), deadline - monotonic_clock::now());
+        std::move(opened).value(), deadline - monotonic_clock::now(),
+        max_report_bytes);
 }
 
 asio::awaitable<void> process_check::fetch_report(
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 
 namespace wagtailseam::http
@@ -121,9 +122,13 @@
 };
 
 /// Reads the rest of a response. @return its header and whole body
-/// @errors stream_broken: the body broke off or did not end in time
+/// @param max_bytes a longer body is given up; the limit of the client holds
+/// too
+/// @errors stream_broken: the body broke off, is too long or did not end in
+/// time
 asio::awaitable<result<response>> read_to_end(
-    response_stream stream, duration timeout);
+    response_stream stream, duration timeout,
+    std::size_t max_bytes = std::numeric_limits<std::size_t>::max());
 
 /// Sends requests over pooled connections. Not thread-safe. Waits for the end
 /// of idle connections, so an io_context does not run out of work while there
--- a/src/http/read_to_end.cpp
+++ b/src/http/read_to_end.cpp
@@ -1,11 +1,13 @@
 // Reads the whole body of a response.
 #include "http/client.hpp"
 
+#include <string>
+
 namespace wagtailseam::http
 {
 
 asio::awaitable<result<response>> read_to_end(
-    response_stream stream, duration timeout)
+    response_stream stream, duration timeout, std::size_t max_bytes)
 {
     const auto deadline = monotonic_clock::now() + timeout;
     response full_response = stream.head();
@@ -21,6 +23,12 @@
         {
             co_return full_response;
         }
+        if (part.value().size() > max_bytes - full_response.body.size())
+        {
+            co_return fail(
+                result_code::stream_broken,
+                "body of over " + std::to_string(max_bytes) + " bytes");
+        }
         full_response.body += part.value();
     }
 }
