--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -216,15 +216,7 @@
             continue;
         }
         const bool is_paid = next_upstream_.has_value();
-        auto target = std::exchange(next_upstream_, std::nullopt);
-        // An upstream that was reserved may have left the list meanwhile.
-        const bool must_choose =
-            !target || state_.upstreams.is_leaving(
-                           target->entry.id, monotonic_clock::now());
-        if (must_choose)
-        {
-            target = choose_upstream();
-        }
+        const auto target = take_upstream();
         if (!target)
         {
             if (co_await wait_for_upstream())
@@ -287,6 +279,16 @@
     return selection;
 }
 
+std::optional<serving::chosen_upstream> request_handler::take_upstream()
+{
+    auto reserved = std::exchange(next_upstream_, std::nullopt);
+    // A reserved upstream may have left the list meanwhile.
+    const bool is_usable =
+        reserved && !state_.upstreams.is_leaving(
+                        reserved->entry.id, monotonic_clock::now());
+    return is_usable ? std::move(reserved) : choose_upstream();
+}
+
 std::optional<serving::chosen_upstream> request_handler::choose_upstream()
 {
     auto selection = select_upstream();
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -133,6 +133,9 @@
     [[nodiscard]] bool are_events_valid();
     asio::awaitable<next_step> forward_response(
         const serving::chosen_upstream& target, http::response_stream& stream);
+    /// Returns the reserved upstream, or chooses one. Returns nullopt and sets
+    /// the result code if there is none.
+    [[nodiscard]] std::optional<serving::chosen_upstream> take_upstream();
     /// Returns nullopt and sets the result code if there is none.
     [[nodiscard]] std::optional<serving::chosen_upstream> choose_upstream();
     [[nodiscard]] serving::choice select_upstream();
