--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -70,12 +70,11 @@
     trial,
 };
 
-/// Crashes tell neither how many upstreams ended for the same reason nor
-/// whether a content was that reason: an outage of all upstreams condemns
-/// whatever ran there. A content of several crashes is therefore tried, in one
-/// request of all gateways at a time. A completed trial clears it; trials that
-/// end with crashes are repeated at increasing intervals, at most max_trials
-/// times.
+/// A number of crashes does not show whether a content caused them: in an
+/// outage of all upstreams, whatever ran there is under suspicion. A content of
+/// several crashes is therefore tried, in one request of all gateways at a
+/// time. A completed trial clears it; trials that end with crashes are repeated
+/// at increasing intervals, at most max_trials times.
 ///
 /// A part is suspect from more crashes on than a request: as long as few are
 /// known, parts of many sound requests are under suspicion too. A suspect part
