Remove claims of trials by one function

remove_expired repeated the conditional removal and its log line that remove_claim has for released claims. Behaviour is unchanged; upstream_outage_test (6 of 6) and the crashing_request tests of test_platform (13 of 13) pass.

--- a/src/gateway/trial_claims.cpp
+++ b/src/gateway/trial_claims.cpp
@@ -64,7 +64,7 @@
     held_.erase(held);
 }
 
-asio::awaitable<void> trial_claims::remove_claim(
+asio::awaitable<bool> trial_claims::remove_claim(
     std::string key, platform::store_version expected)
 {
     const platform::row_change removal{.key = key, .value = std::nullopt};
@@ -76,6 +76,7 @@
             .with("row", key)
             .with("detail", removed.error().detail);
     }
+    co_return removed.has_value();
 }
 
 asio::awaitable<trial_claims::written_claim> trial_claims::write_claim(
@@ -164,15 +165,9 @@
         }
         ++removals;
         // Another gateway may have claimed the trial since.
-        const platform::row_change removal{
-            .key = row.key, .value = std::nullopt};
-        const auto removed =
-            co_await row_store_.write_if(trial_table, removal, row.version);
+        const bool removed = co_await remove_claim(row.key, row.version);
         if (!removed)
         {
-            telemetry::event("trial_claim_not_removed")
-                .with("row", row.key)
-                .with("detail", removed.error().detail);
             co_return;
         }
     }
--- a/src/gateway/trial_claims.hpp
+++ b/src/gateway/trial_claims.hpp
@@ -52,7 +52,9 @@
     };
 
     asio::awaitable<written_claim> write_claim(std::string key);
-    asio::awaitable<void> remove_claim(
+    /// Removes a claim unless another one has replaced it. @return whether the
+    /// store answered; a failure is logged
+    asio::awaitable<bool> remove_claim(
         std::string key, platform::store_version expected);
     /// @return the claim that stands in the way; nullopt if there is none, also
     ///         after a row that cannot be read was logged
