LOST: keep a silent stream until another upstream has accepted it

Cause: after a gap of four times the agreed one a gateway closed the connection to the silent upstream as soon as another one was chosen and paid for, before it had accepted the stream. It refused, and the stream had begun, so it was cut.

Change: the attempt at the other upstream runs beside the silent one. Its head, with a proof and from the listed process, ends the silent attempt; an event of the silent upstream ends the other attempt; a refusal leaves the silent attempt as it was, and the retry budget pays once. If the silent connection ends, the successor is awaited; if the caller leaves, both end.

Ruled out: a shorter Retry-After or a wait for the full upstream; neither keeps the stream that goes on 300 ms later.

Price: while an upstream is silent, both hold a slot until the head of the successor; if the silent one goes on first, what the successor read is lost.

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -93,10 +93,7 @@
         [this]
         {
             caller_disconnected_ = true;
-            if (cancellation_handle_)
-            {
-                cancellation_handle_->cancel();
-            }
+            cancel_attempts();
         });
     const drain_state::registration registration(
         state_.drain, [this] { end_for_drain(); });
@@ -119,6 +116,10 @@
     co_await report_broken_attempt();
     end_trial();
     drop_trial_claims(true);
+    for (const auto& successor : dropped_successors_)
+    {
+        co_await wait_until_decided(*successor);
+    }
 }
 
 void request_handler::end_for_drain()
@@ -128,10 +129,19 @@
     telemetry::event("request_ended_by_drain")
         .with("request", request_.call.id)
         .with("runs", record_.executions);
+    cancel_attempts();
+}
+
+void request_handler::cancel_attempts()
+{
     if (cancellation_handle_)
     {
         cancellation_handle_->cancel();
     }
+    if (successor_)
+    {
+        successor_->cancellation->cancel();
+    }
 }
 
 result<void> request_handler::accept_request()
@@ -214,7 +224,6 @@
             // The caller left while the trial was claimed.
             continue;
         }
-        const bool is_paid = next_upstream_.has_value();
         const auto target = take_upstream();
         if (!target)
         {
@@ -229,15 +238,18 @@
             record_.code = result_code::queue_full;
             break;
         }
-        if (!is_paid && record_.dispatches > 0 &&
-            !state_.retry_budget_for(request_.service)
-                 .try_spend(retry::retry_cause::failure))
+        if (record_.dispatches > 0 && !pay_for_retry())
         {
             record_.code = result_code::retry_budget_spent;
             break;
         }
+        is_retry_paid_ = false;
         state_.statements.record_request(target->entry.id);
-        const auto next = co_await run_attempt(*target);
+        auto next = co_await run_attempt(*target);
+        while (next == next_step::take_over)
+        {
+            next = co_await continue_with_successor();
+        }
         if (next == next_step::finished)
         {
             co_return;
@@ -360,12 +372,14 @@
         limit, request_.route->latency_target * max_silence_factor);
 }
 
-void request_handler::watch_silence(const std::shared_ptr<silence_watch>& watch)
+void request_handler::watch_silence(
+    const std::shared_ptr<silence_watch>& watch,
+    const std::shared_ptr<http::cancellation_handle>& attempt)
 {
     watch->timer.expires_after(std::max<duration>(
         watch->due - monotonic_clock::now(), duration::zero()));
     watch->timer.async_wait(
-        [this, watch](auto ec)
+        [this, watch, attempt](auto ec)
         {
             // The handler may outlive this object once the watch is stopped.
             if (ec || watch->stopped || !may_retry())
@@ -377,12 +391,12 @@
             {
                 if (reserve_next_attempt())
                 {
-                    cancellation_handle_->cancel();
+                    attempt->cancel();
                     return;
                 }
                 watch->due = now + silence_check_interval;
             }
-            watch_silence(watch);
+            watch_silence(watch, attempt);
         });
 }
 
@@ -425,8 +439,7 @@
     }
     auto selection = select_upstream();
     auto* const chosen = std::get_if<serving::chosen_upstream>(&selection);
-    if (chosen == nullptr || !state_.retry_budget_for(request_.service)
-                                  .try_spend(retry::retry_cause::failure))
+    if (chosen == nullptr || !pay_for_retry())
     {
         return false;
     }
@@ -434,9 +447,17 @@
     return true;
 }
 
-http::open_options request_handler::make_open_options()
+bool request_handler::pay_for_retry()
+{
+    is_retry_paid_ =
+        is_retry_paid_ || state_.retry_budget_for(request_.service)
+                              .try_spend(retry::retry_cause::failure);
+    return is_retry_paid_;
+}
+
+http::open_options request_handler::make_open_options(
+    std::shared_ptr<http::cancellation_handle> cancellation)
 {
-    cancellation_handle_ = std::make_shared<http::cancellation_handle>();
     return http::open_options{
         .timeout = request_.time_left(),
         .connect_timeout =
@@ -449,7 +470,7 @@
             ++record_.dispatches;
             ++record_.executions;
         },
-        .cancellation = cancellation_handle_};
+        .cancellation = std::move(cancellation)};
 }
 
 void request_handler::begin_attempt(
@@ -498,7 +519,11 @@
     const serving::chosen_upstream& target,
     const serving::attempt_result& outcome)
 {
-    finish_prefill(false);
+    // A successor's prefill may be pending.
+    if (pending_prompt_ && pending_prompt_->upstream == target.entry.id)
+    {
+        finish_prefill(false);
+    }
     record_.last_result = serving::name(outcome);
     state_.upstreams.end_attempt(
         target.entry.id, outcome, monotonic_clock::now());
@@ -535,7 +560,8 @@
     auto planned = plan_dispatch(state_, request_, target, resume_position());
     record_.expected_wait = target.expected_wait;
     record_.dispatch = planned.summary;
-    const auto options = make_open_options();
+    cancellation_handle_ = std::make_shared<http::cancellation_handle>();
+    const auto options = make_open_options(cancellation_handle_);
     begin_attempt(target, planned);
     const silence_watch_scope time_out(
         co_await asio::this_coro::executor,
@@ -543,7 +569,7 @@
     record_silence_when_due(time_out.watch(), target.entry.id);
     const silence_watch_scope silence(
         co_await asio::this_coro::executor, silence_limit(target));
-    watch_silence(silence.watch());
+    watch_silence(silence.watch(), cancellation_handle_);
     auto opened = co_await upstream_client_.open(
         target.entry.address, std::move(planned.message), options);
     time_out.stop();
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -19,6 +19,8 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace wagtailseam::gateway
 {
@@ -42,16 +44,24 @@
         finished,
         retry,
         give_up,
+        /// The successor has accepted the stream and continues it.
+        take_over,
     };
 
     [[nodiscard]] result<void> accept_request();
     /// Cancels the attempt, so that the caller gets its final response.
     void end_for_drain();
+    /// Cancels the attempt and its successor.
+    void cancel_attempts();
     [[nodiscard]] result<void> resolve_route();
     asio::awaitable<void> run_attempts();
     asio::awaitable<next_step> run_attempt(serving::chosen_upstream target);
     asio::awaitable<next_step> handle_response(
         const serving::chosen_upstream& target, http::response_stream stream);
+    /// Returns nullopt if the body may be forwarded, as far as the head tells.
+    /// Otherwise ends the attempt and returns what to do next.
+    asio::awaitable<std::optional<next_step>> check_response_head(
+        const serving::chosen_upstream& target, http::response_stream& stream);
     /// Records what a response says of its upstream's process.
     void record_statements(
         const serving::chosen_upstream& target,
@@ -82,7 +92,8 @@
     void record_completion();
     /// Ends an attempt that may have run although no whole response arrived.
     void end_broken_attempt(const serving::chosen_upstream& target);
-    [[nodiscard]] next_step handle_broken_response(
+    /// Awaits a successor, which may continue the stream.
+    asio::awaitable<next_step> handle_broken_response(
         const serving::chosen_upstream& target);
     /// Returns whether another upstream can continue the response. The gateway
     /// forwards only complete events of a stream.
@@ -172,7 +183,8 @@
     /// Returns the time after which the caller should return.
     [[nodiscard]] duration retry_delay();
 
-    [[nodiscard]] http::open_options make_open_options();
+    [[nodiscard]] http::open_options make_open_options(
+        std::shared_ptr<http::cancellation_handle> cancellation);
     [[nodiscard]] bool may_retry() const;
     /// Returns after which silence before the response another upstream is
     /// preferred.
@@ -220,9 +232,12 @@
     private:
         std::shared_ptr<silence_watch> watch_;
     };
-    /// Ends the attempt once the silence is long enough and another attempt is
-    /// certain to start. Until then its response is awaited.
-    void watch_silence(const std::shared_ptr<silence_watch>& watch);
+    /// Cancels an attempt without a response once the silence is long enough
+    /// and another attempt is certain to start. Until then its response is
+    /// awaited.
+    void watch_silence(
+        const std::shared_ptr<silence_watch>& watch,
+        const std::shared_ptr<http::cancellation_handle>& attempt);
     /// Records the silence of an upstream, so that other requests avoid it
     /// before the attempt ends.
     void record_silence_when_due(
@@ -230,6 +245,54 @@
     /// Chooses the upstream of another attempt and pays for it, if nothing
     /// prevents that attempt while the current one is in progress.
     [[nodiscard]] bool reserve_next_attempt();
+    /// Returns whether the retry budget pays for another attempt, or has done
+    /// so.
+    [[nodiscard]] bool pay_for_retry();
+
+    /// An attempt to continue a stream whose upstream is silent. The attempt
+    /// of that upstream goes on until this one is accepted.
+    struct successor_attempt
+    {
+        successor_attempt(
+            const asio::any_io_executor& executor,
+            serving::chosen_upstream chosen)
+            : target(std::move(chosen)),
+              decided(executor, asio::steady_timer::time_point::max())
+        {
+        }
+
+        serving::chosen_upstream target;
+        std::shared_ptr<http::cancellation_handle> cancellation =
+            std::make_shared<http::cancellation_handle>();
+        /// Expires once the attempt is accepted or has failed.
+        asio::steady_timer decided;
+        bool is_decided = false;
+        /// Whether it is no longer needed.
+        bool is_dropped = false;
+        /// Set if its upstream has accepted the stream.
+        std::optional<http::response_stream> response;
+    };
+    /// Starts a successor once the gap between events is long enough.
+    void watch_event_gap(const std::shared_ptr<silence_watch>& watch);
+    /// @pre next_upstream_.has_value()
+    void start_successor(const asio::any_io_executor& executor);
+    asio::awaitable<void> run_successor(
+        std::shared_ptr<successor_attempt> successor);
+    /// Returns the response that continues the stream; nullopt if the attempt
+    /// has ended without one.
+    asio::awaitable<std::optional<http::response_stream>> open_successor(
+        successor_attempt& successor);
+    void end_unopened_successor(
+        const successor_attempt& successor, const error& failure);
+    static asio::awaitable<void> wait_until_decided(
+        successor_attempt& successor);
+    [[nodiscard]] bool has_accepted_successor() const;
+    /// Cancels the successor, because the upstream goes on or nobody waits.
+    void drop_successor();
+    /// Ends the attempt at the silent upstream.
+    [[nodiscard]] next_step take_over(
+        const serving::chosen_upstream& silent, http::response_stream& stream);
+    asio::awaitable<next_step> continue_with_successor();
     void begin_attempt(
         const serving::chosen_upstream& target,
         const planned_dispatch& planned);
@@ -273,6 +336,16 @@
     /// The upstream of the next attempt, which the retry budget has paid for.
     /// Set if the current attempt is ended for the silence of its upstream.
     std::optional<serving::chosen_upstream> next_upstream_;
+    /// Whether the retry budget has paid for an attempt that has not run.
+    bool is_retry_paid_ = false;
+    /// Set while an attempt to continue the stream runs, or is accepted.
+    std::shared_ptr<successor_attempt> successor_;
+    /// Cancelled successors. They use this object until they are decided.
+    std::vector<std::shared_ptr<successor_attempt>> dropped_successors_;
+    /// No successor starts before this time.
+    mono_time next_successor_at_;
+    /// Whether the attempt waits for bytes, so that a successor may close it.
+    bool is_awaiting_bytes_ = false;
     struct pending_prompt
     {
         upstream_id upstream;
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -3,6 +3,7 @@
 #include "http/listener_probe.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace wagtailseam::gateway
 {
@@ -105,8 +106,9 @@
         std::max(attempt_began_at_, stream.connected_at()));
 }
 
-asio::awaitable<request_handler::next_step> request_handler::handle_response(
-    const serving::chosen_upstream& target, http::response_stream stream)
+asio::awaitable<std::optional<request_handler::next_step>>
+request_handler::check_response_head(
+    const serving::chosen_upstream& target, http::response_stream& stream)
 {
     const auto response = platform::decode_response_head(stream.head());
     record_statements(target, stream, response);
@@ -146,6 +148,17 @@
         record_.code = result_code::outcome_unknown;
         co_return may_retry() ? next_step::retry : next_step::give_up;
     }
+    co_return std::nullopt;
+}
+
+asio::awaitable<request_handler::next_step> request_handler::handle_response(
+    const serving::chosen_upstream& target, http::response_stream stream)
+{
+    const auto failed = co_await check_response_head(target, stream);
+    if (failed)
+    {
+        co_return *failed;
+    }
     if (request_.route->is_resumable_stream() && is_event_stream(stream.head()))
     {
         finish_prefill(true);
@@ -281,15 +294,26 @@
     record_.code = request_.time_left() <= duration::zero()
                        ? result_code::deadline_passed
                        : result_code::stream_broken;
-    event_splitter_.drop_partial();
 }
 
-request_handler::next_step request_handler::handle_broken_response(
-    const serving::chosen_upstream& target)
+asio::awaitable<request_handler::next_step>
+request_handler::handle_broken_response(const serving::chosen_upstream& target)
 {
+    const auto successor = successor_;
+    if (successor)
+    {
+        auto detail = std::exchange(failure_detail_, {});
+        co_await wait_until_decided(*successor);
+        failure_detail_ = std::move(detail);
+    }
     end_broken_attempt(target);
-    return is_resumable_stream() && may_retry() ? next_step::retry
-                                                : next_step::give_up;
+    event_splitter_.drop_partial();
+    if (has_accepted_successor())
+    {
+        co_return next_step::take_over;
+    }
+    co_return is_resumable_stream() && may_retry() ? next_step::retry
+                                                   : next_step::give_up;
 }
 
 asio::awaitable<void> request_handler::begin_body(
@@ -336,7 +360,7 @@
         co_await asio::this_coro::executor, max_silence);
     if (is_resumable_stream())
     {
-        watch_silence(silence.watch());
+        watch_event_gap(silence.watch());
     }
     std::string last_event = event_splitter_.last_id();
     while (!caller_disconnected_)
@@ -346,20 +370,31 @@
         {
             last_event = event_splitter_.last_id();
             silence.watch()->due = monotonic_clock::now() + max_silence;
+            drop_successor();
         }
         if (!are_events_valid())
         {
-            co_return handle_broken_response(target);
+            co_return co_await handle_broken_response(target);
+        }
+        if (has_accepted_successor())
+        {
+            co_return take_over(target, stream);
         }
+        is_awaiting_bytes_ = true;
         const auto chunk = co_await stream.read(request_.time_left());
+        is_awaiting_bytes_ = false;
         if (!chunk && caller_disconnected_)
         {
             break;
         }
+        if (has_accepted_successor())
+        {
+            co_return take_over(target, stream);
+        }
         if (!chunk)
         {
             failure_detail_ = chunk.error().detail;
-            co_return handle_broken_response(target);
+            co_return co_await handle_broken_response(target);
         }
         if (chunk.value().empty())
         {
@@ -367,13 +402,15 @@
                 co_await classify_body_end(target, stream.framing());
             if (end == body_end::cut_off)
             {
-                co_return handle_broken_response(target);
+                co_return co_await handle_broken_response(target);
             }
+            drop_successor();
             co_await end_response(target, end);
             co_return next_step::finished;
         }
         co_await forward_chunk(target, chunk.value());
     }
+    drop_successor();
     stream.close();
     end_attempt(target, serving::abandoned{});
     record_.code = result_code::caller_gone;
