--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -367,6 +367,7 @@
         }
     }
     state_.routes = received;
+    state_.upstreams.set_services(config.services);
     stream_origin_sync_.apply_routes(config.routes);
     on_new_configuration_();
     telemetry::event("configuration_in_force")
@@ -534,11 +535,39 @@
 {
     for (const auto& entry : ended)
     {
-        state_.crashes.record_process_end({entry.id, entry.started_ms}, "list");
-        state_.statements.erase({entry.id, entry.started_ms});
+        const auto process = serving::process_of(entry);
+        if (state_.upstreams.lists_successor(process))
+        {
+            record_process_end(process);
+            continue;
+        }
+        // Another writer's entry may name the address of an upstream that runs.
+        asio::co_spawn(context_, check_superseded(entry), asio::detached);
     }
 }
 
+asio::awaitable<void> state_updater::check_superseded(serving::upstream entry)
+{
+    const auto process = serving::process_of(entry);
+    const bool is_running = co_await state_.is_running(entry);
+    telemetry::event("upstream_superseded")
+        .with("upstream", entry.id)
+        .with("address", entry.address)
+        .with("is_running", is_running ? 1 : 0);
+    if (is_running)
+    {
+        state_.upstreams.record_running(process);
+        co_return;
+    }
+    record_process_end(process);
+}
+
+void state_updater::record_process_end(const upstream_process& process)
+{
+    state_.crashes.record_process_end(process, "list");
+    state_.statements.erase(process);
+}
+
 bool state_updater::receives_relayed_updates(const service_id& store) const
 {
     const auto last_update = last_relayed_update_.find(store);
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -79,6 +79,10 @@
         std::vector<serving::upstream> listed, bool restored);
     /// Handles the processes that a change of the list shows to have ended.
     void handle_ended_processes(const std::vector<serving::upstream>& ended);
+    /// Finds out whether an upstream runs although a later one is listed at its
+    /// address.
+    asio::awaitable<void> check_superseded(serving::upstream entry);
+    void record_process_end(const upstream_process& process);
     /// @param received_at time at which decoding began
     void apply_configuration(
         std::shared_ptr<const serving::route_table> received,
--- a/src/serving/configuration.hpp
+++ b/src/serving/configuration.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -101,6 +102,8 @@
 {
     config_number number;
     std::vector<route> routes;
+    /// All services that it names, also those without a route.
+    std::set<service_id> services;
     std::vector<cache_store> stores;
     std::vector<workspace> workspaces;
     request_limits limits;
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -51,7 +51,7 @@
 bool load_balancer::is_draining_or_removed(
     const upstream_state& state, mono_time now) noexcept
 {
-    return state.entry.draining ||
+    return state.entry.draining || state.is_superseded || state.is_disproved ||
            (state.removed_at && now >= *state.removed_at);
 }
 
@@ -416,7 +416,11 @@
             },
             [&](const refused_busy&)
             { pause(state, options_.busy_pause, now); },
-            [&](const misdirected&) { state.removed_at = now; },
+            [&](const misdirected&)
+            {
+                state.removed_at = now;
+                (void)update_superseded(state.entry.address);
+            },
             [&](const weights_differ& mismatch)
             {
                 if (mismatch.running)
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -208,15 +208,19 @@
 public:
     explicit load_balancer(const load_balancer_options& options = {});
 
+    /// Sets the services that the configuration names. Entries of other
+    /// services count for nothing. Before the first call all entries count.
+    void set_services(std::set<service_id> services);
+
     /// Replaces the list. Upstreams missing from it are used for the grace
     /// period only.
     /// @return the entries of processes that have ended, as in upsert()
     std::vector<upstream> replace(
         const std::vector<upstream>& listed, duration grace, mono_time now);
-    /// Adds or updates an entry. Upstreams that ran earlier at its address are
-    /// no longer used.
-    /// @return the entries of processes that have ended, because a later one
-    ///         runs at their address or under their id
+    /// Adds or updates an entry. Upstreams that started earlier at its address
+    /// are not used while it is listed.
+    /// @return the entries of processes that have ended according to the list,
+    ///         because a later one is listed at their address or under their id
     std::vector<upstream> upsert(const upstream& listed);
     /// Removes an entry after the grace period, because the list loses live
     /// upstreams while the platform's row store is down.
@@ -231,6 +235,10 @@
     /// that was restored from an older copy may contain them again.
     void remove_departed(std::vector<upstream>& listed) const;
 
+    /// Records that an earlier process still answers at an upstream's address,
+    /// so that the later entries at the address name no upstream.
+    void record_running(const upstream_process& process);
+
     /// Returns whether a later process than this one is listed under its id.
     [[nodiscard]] bool lists_successor(const upstream_process& process) const;
     /// Returns the software versions of a service's upstreams that are listed,
@@ -291,6 +299,10 @@
         upstream entry;
         /// End of its use; set if the list does not contain it.
         std::optional<mono_time> removed_at;
+        /// Whether an upstream that started later is listed at its address.
+        bool is_superseded = false;
+        /// Whether an earlier process answers at its address.
+        bool is_disproved = false;
         std::uint32_t in_flight = 0;
         engine_load load;
         /// Time of the last load report.
@@ -330,12 +342,13 @@
     [[nodiscard]] candidate_list list_candidates(
         const upstream_query& query, random_source& random,
         mono_time now) const;
-    /// Removes upstreams that started earlier at the same address. Their
-    /// processes have ended even if the list still contains them.
-    /// @return the entries removed by this call
-    std::vector<upstream> remove_predecessors(const upstream& listed);
-    /// Returns whether an upstream that started later runs at the address.
-    [[nodiscard]] bool has_successor(const upstream& listed) const;
+    /// Returns whether an entry may name an upstream that runs.
+    [[nodiscard]] bool counts(const upstream_state& state) const;
+    /// Finds out which upstreams at an address are superseded.
+    /// @return the entries that were not superseded before
+    std::vector<upstream> update_superseded(const http::address& address);
+    /// Records that an upstream is no longer listed at an address.
+    void forget_address(const upstream_id& id, const http::address& address);
     [[nodiscard]] static bool is_draining_or_removed(
         const upstream_state& state, mono_time now) noexcept;
     [[nodiscard]] bool is_available(
@@ -365,6 +378,10 @@
 
     load_balancer_options options_;
     std::map<upstream_id, upstream_state> upstreams_;
+    /// @invariant contains each upstream under the address of its entry
+    std::map<http::address, std::set<upstream_id>> upstreams_by_address_;
+    /// Unset before the first configuration.
+    std::optional<std::set<service_id>> named_services_;
     /// Start times of processes whose departure was confirmed.
     /// @invariant at most options_.max_departed entries, those of
     ///            departure_order_
--- a/src/serving/load_balancer_list.cpp
+++ b/src/serving/load_balancer_list.cpp
@@ -8,6 +8,15 @@
 namespace wagtailseam::serving
 {
 
+void load_balancer::set_services(std::set<service_id> services)
+{
+    named_services_ = std::move(services);
+    for (const auto& [address, ids] : upstreams_by_address_)
+    {
+        (void)update_superseded(address);
+    }
+}
+
 std::vector<upstream> load_balancer::replace(
     const std::vector<upstream>& listed, duration grace, mono_time now)
 {
@@ -26,6 +35,7 @@
         if (!listed_ids.contains(id) && !state.removed_at)
         {
             state.removed_at = now + grace;
+            (void)update_superseded(state.entry.address);
         }
     }
     return ended;
@@ -33,7 +43,7 @@
 
 std::vector<upstream> load_balancer::upsert(const upstream& listed)
 {
-    auto ended = remove_predecessors(listed);
+    std::vector<upstream> ended;
     if (departed_.erase(listed.id) > 0)
     {
         std::erase(departure_order_, listed.id);
@@ -44,6 +54,17 @@
     {
         ended.push_back(state.entry);
     }
+    const bool is_other_process = state.entry.started_ms != listed.started_ms ||
+                                  state.entry.address != listed.address;
+    if (is_other_process)
+    {
+        state.is_disproved = false;
+    }
+    if (state.entry.address != listed.address)
+    {
+        forget_address(listed.id, state.entry.address);
+        upstreams_by_address_[listed.address].insert(listed.id);
+    }
     // The list lags behind the reports of agents and upstreams; a weight
     // version never decreases.
     auto weights = std::move(state.entry.weights);
@@ -61,41 +82,81 @@
         current = std::max(current, version);
     }
     state.removed_at.reset();
-    if (has_successor(listed))
-    {
-        state.removed_at = mono_time{};
-    }
+    auto superseded = update_superseded(listed.address);
+    std::erase_if(
+        superseded,
+        [&](const upstream& entry) { return entry.id == listed.id; });
+    std::move(superseded.begin(), superseded.end(), std::back_inserter(ended));
     return ended;
 }
 
-bool load_balancer::has_successor(const upstream& listed) const
+bool load_balancer::counts(const upstream_state& state) const
 {
-    return std::any_of(
-        upstreams_.begin(), upstreams_.end(),
-        [&](const auto& entry)
+    return !state.removed_at && !state.is_disproved &&
+           (!named_services_ || named_services_->contains(state.entry.service));
+}
+
+std::vector<upstream> load_balancer::update_superseded(
+    const http::address& address)
+{
+    const auto& ids = upstreams_by_address_[address];
+    std::uint64_t last_start = 0;
+    for (const auto& id : ids)
+    {
+        const auto& state = upstreams_.at(id);
+        if (counts(state))
         {
-            const auto& other = entry.second;
-            return other.entry.address == listed.address &&
-                   other.entry.started_ms > listed.started_ms &&
-                   !other.removed_at;
-        });
+            last_start = std::max(last_start, state.entry.started_ms);
+        }
+    }
+    std::vector<upstream> superseded;
+    for (const auto& id : ids)
+    {
+        auto& state = upstreams_.at(id);
+        const bool was_superseded = std::exchange(
+            state.is_superseded, state.entry.started_ms < last_start);
+        if (state.is_superseded && !was_superseded)
+        {
+            superseded.push_back(state.entry);
+        }
+    }
+    return superseded;
+}
+
+void load_balancer::forget_address(
+    const upstream_id& id, const http::address& address)
+{
+    const auto found = upstreams_by_address_.find(address);
+    if (found == upstreams_by_address_.end())
+    {
+        return;
+    }
+    found->second.erase(id);
+    (void)update_superseded(address);
+    if (found->second.empty())
+    {
+        upstreams_by_address_.erase(found);
+    }
 }
 
-std::vector<upstream> load_balancer::remove_predecessors(const upstream& listed)
+void load_balancer::record_running(const upstream_process& process)
 {
-    std::vector<upstream> removed;
-    for (auto& [id, other] : upstreams_)
+    const auto running = upstreams_.find(process.id);
+    if (running == upstreams_.end() ||
+        running->second.entry.started_ms != process.started_ms)
     {
-        const bool predecessor = id != listed.id &&
-                                 other.entry.address == listed.address &&
-                                 other.entry.started_ms < listed.started_ms;
-        if (predecessor && other.removed_at != mono_time{})
+        return;
+    }
+    const auto& address = running->second.entry.address;
+    for (const auto& id : upstreams_by_address_[address])
+    {
+        auto& state = upstreams_.at(id);
+        if (state.entry.started_ms > process.started_ms)
         {
-            other.removed_at = mono_time{};
-            removed.push_back(other.entry);
+            state.is_disproved = true;
         }
     }
-    return removed;
+    (void)update_superseded(address);
 }
 
 std::optional<upstream> load_balancer::remove(
@@ -107,15 +168,18 @@
     {
         found->second.removed_at = now + grace;
         removed = found->second.entry;
+        (void)update_superseded(removed->address);
     }
-    std::erase_if(
-        upstreams_,
-        [&](const auto& entry)
+    for (auto next = upstreams_.begin(); next != upstreams_.end();)
+    {
+        const auto entry = next++;
+        const auto& state = entry->second;
+        if (state.removed_at && state.in_flight == 0 && now > *state.removed_at)
         {
-            const auto& state = entry.second;
-            return state.removed_at && state.in_flight == 0 &&
-                   now > *state.removed_at;
-        });
+            forget_address(entry->first, state.entry.address);
+            upstreams_.erase(entry);
+        }
+    }
     return removed;
 }
 
@@ -164,7 +228,8 @@
     std::set<software_version> versions;
     for (const auto& [id, state] : upstreams_)
     {
-        const bool listed = !state.removed_at || now < *state.removed_at;
+        const bool listed = !state.is_superseded && !state.is_disproved &&
+                            (!state.removed_at || now < *state.removed_at);
         if (listed && state.entry.service == service)
         {
             versions.insert(state.entry.software);
