--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -85,6 +85,9 @@
     /// Sets `failure_detail_` if the body was cut off.
     asio::awaitable<body_end> classify_body_end(
         const serving::chosen_upstream& target, http::body_framing framing);
+    /// Handles the end of a body as its framing demands.
+    asio::awaitable<next_step> end_body(
+        const serving::chosen_upstream& target, http::body_framing framing);
     /// @pre end is not body_end::cut_off
     asio::awaitable<void> end_response(
         const serving::chosen_upstream& target, body_end end);
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -350,6 +350,19 @@
     return true;
 }
 
+asio::awaitable<request_handler::next_step> request_handler::end_body(
+    const serving::chosen_upstream& target, http::body_framing framing)
+{
+    const auto end = co_await classify_body_end(target, framing);
+    if (end == body_end::cut_off)
+    {
+        co_return co_await handle_broken_response(target);
+    }
+    drop_successor();
+    co_await end_response(target, end);
+    co_return next_step::finished;
+}
+
 asio::awaitable<request_handler::next_step> request_handler::forward_response(
     const serving::chosen_upstream& target, http::response_stream& stream)
 {
@@ -398,15 +411,7 @@
         }
         if (chunk.value().empty())
         {
-            const auto end =
-                co_await classify_body_end(target, stream.framing());
-            if (end == body_end::cut_off)
-            {
-                co_return co_await handle_broken_response(target);
-            }
-            drop_successor();
-            co_await end_response(target, end);
-            co_return next_step::finished;
+            co_return co_await end_body(target, stream.framing());
         }
         co_await forward_chunk(target, chunk.value());
     }
