Review of both fixes: await each successor; only a stated start disproves

The broken attempt awaits each successor, and the request drops its successor at the end. - An upstream without reports (404) counted as running, so its successor at the same address would not have been used. Only the stated start of the listed process is a proof now.

--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -83,6 +83,8 @@
 {
     state_.is_running = [this](serving::upstream entry)
     { return process_check_.is_running(std::move(entry)); };
+    state_.confirms_process = [this](serving::upstream entry)
+    { return process_check_.confirms_process(std::move(entry)); };
     state_updater_.start();
     telemetry::event("started")
         .with("vm", state_.settings.vm)
--- a/src/gateway/process_check.cpp
+++ b/src/gateway/process_check.cpp
@@ -127,6 +127,16 @@
                              started_ms.value() == entry.started_ms);
 }
 
+asio::awaitable<bool> process_check::confirms_process(serving::upstream entry)
+{
+    const auto report =
+        std::make_shared<pending_report>(co_await asio::this_coro::executor);
+    const auto answer = co_await receive_report(entry.address, report);
+    const auto started_ms = decode_start_time(answer, entry.id);
+    co_return started_ms&& started_ms.value() != 0 &&
+        started_ms.value() == entry.started_ms;
+}
+
 asio::awaitable<bool> process_check::wait_until_replaced(
     upstream_process process, duration limit)
 {
--- a/src/gateway/process_check.hpp
+++ b/src/gateway/process_check.hpp
@@ -40,6 +40,9 @@
     /// process of the entry answers; an upstream that does not state when its
     /// process started is trusted.
     asio::awaitable<bool> is_running(serving::upstream entry);
+    /// Returns whether the upstream states the start of the listed process. One
+    /// that makes no statement may be another process.
+    asio::awaitable<bool> confirms_process(serving::upstream entry);
 
     /// Returns whether the successor of a process is listed. Waits for the next
     /// reads of the list.
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -116,6 +116,7 @@
     co_await report_broken_attempt();
     end_trial();
     drop_trial_claims(true);
+    drop_successor();
     for (const auto& successor : dropped_successors_)
     {
         co_await wait_until_decided(*successor);
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -299,13 +299,14 @@
 asio::awaitable<request_handler::next_step>
 request_handler::handle_broken_response(const serving::chosen_upstream& target)
 {
-    const auto successor = successor_;
-    if (successor)
+    const auto detail = failure_detail_;
+    // Another one may start while the failure of a successor is handled.
+    while (successor_ && !successor_->is_decided)
     {
-        auto detail = std::exchange(failure_detail_, {});
+        const auto successor = successor_;
         co_await wait_until_decided(*successor);
-        failure_detail_ = std::move(detail);
     }
+    failure_detail_ = detail;
     end_broken_attempt(target);
     event_splitter_.drop_partial();
     if (has_accepted_successor())
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -76,6 +76,10 @@
     /// Asks an upstream whether the process of an entry is running.
     std::function<boost::asio::awaitable<bool>(serving::upstream)> is_running =
         [](auto) -> boost::asio::awaitable<bool> { co_return false; };
+    /// Asks an upstream whether it is the process of an entry, as it states.
+    std::function<boost::asio::awaitable<bool>(serving::upstream)>
+        confirms_process = [](auto) -> boost::asio::awaitable<bool>
+    { co_return false; };
     /// Retry budgets by service.
     std::map<serving::service_id, retry::retry_budget> retry_budgets;
     telemetry::metrics metrics;
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -549,7 +549,7 @@
 asio::awaitable<void> state_updater::check_superseded(serving::upstream entry)
 {
     const auto process = serving::process_of(entry);
-    const bool is_running = co_await state_.is_running(entry);
+    const bool is_running = co_await state_.confirms_process(entry);
     telemetry::event("upstream_superseded")
         .with("upstream", entry.id)
         .with("address", entry.address)
