--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -71,14 +71,17 @@
         port = random.randrange(FIRST_PORT, LAST_PORT, 2)
         if not reserve_port(port):
             continue
-        pair = [socket.socket(), socket.socket()]
+        # Gateways and agents receive datagrams at one of their ports.
+        probes = [socket.socket(), socket.socket(),
+                  socket.socket(type=socket.SOCK_DGRAM)]
         try:
-            pair[0].bind(("127.0.0.1", port))
-            pair[1].bind(("127.0.0.1", port + 1))
+            probes[0].bind(("127.0.0.1", port))
+            probes[1].bind(("127.0.0.1", port + 1))
+            probes[2].bind(("127.0.0.1", port))
             ports.append(port)
         except OSError:
             pass
-        held += pair
+        held += probes
     for each in held:
         each.close()
     return ports
