Bound the memory and descriptors that unfinished requests occupy

Seen: callers outside our control ended a gateway for lack of memory: trailers or chunk extensions without end, and many large or chunked bodies that stop just short of their end.

Cause: the server bounds one body and one header, but not their sum, not the bytes that the parser leaves unparsed, and not the connections; a body allocates the length that its caller announces. Ruled out: the connections to upstreams (no request was complete).

Change: a budget for all bodies, in which unfinished large ones yield first; a limit of unparsed bytes; callers' connections below half of the descriptors, the most silent one yielding to a new one; bodies grow as bytes arrive, and large buffers return to the system at once. Refused requests get 503 and Retry-After, since nothing of them ran.

A body of the largest size alone is served before and after.

--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -37,6 +37,48 @@
 constexpr std::chrono::seconds max_idle_time{4};
 constexpr std::size_t max_idle_connections = 16;
 
+/// Share of the process's memory for the bodies of requests. The rest is for
+/// connections, responses, caches of state, and the allocator's fragmentation.
+constexpr std::size_t body_memory_divisor = 8;
+/// Descriptors that the platform reserves for files.
+constexpr std::size_t file_descriptors = 200;
+/// Each caller's connection may need another one to an upstream.
+constexpr std::size_t descriptors_per_connection = 2;
+/// Readiness checks and readers of the metrics are few and send no bodies.
+constexpr std::size_t max_internal_connections = 64;
+constexpr std::size_t max_internal_body_bytes = 4096;
+
+http::body_budget_options make_body_budget(
+    const platform::machine_limits& limits)
+{
+    http::body_budget_options budget;
+    if (limits.memory_bytes)
+    {
+        budget.max_bytes = *limits.memory_bytes / body_memory_divisor;
+    }
+    return budget;
+}
+
+std::size_t max_caller_connections(const platform::machine_limits& limits)
+{
+    if (!limits.max_descriptors)
+    {
+        return http::server_options{}.max_connections;
+    }
+    const auto sockets =
+        std::max(*limits.max_descriptors, 2 * file_descriptors) -
+        file_descriptors;
+    return sockets / descriptors_per_connection;
+}
+
+http::server_options make_internal_options(http::address listen)
+{
+    return {
+        .listen = std::move(listen),
+        .limits = {.max_body_bytes = max_internal_body_bytes},
+        .max_connections = max_internal_connections};
+}
+
 http::address require_address(
     const std::optional<http::address>& address, const char* purpose)
 {
@@ -63,7 +105,11 @@
           context.get_executor(),
           {.listen = require_address(state_.settings.caller_listen, "callers"),
            .on_idle_closure = [this](const http::idle_closure& closure)
-           { record_idle_closure(closure); }},
+           { record_idle_closure(closure); },
+           .on_eviction = [this](const http::eviction& evicted)
+           { record_eviction(evicted); },
+           .body_budget = make_body_budget(state_.settings.limits),
+           .max_connections = max_caller_connections(state_.settings.limits)},
           [this](http::exchange& exchange) -> asio::awaitable<void>
           {
               request_handler handler(
@@ -72,12 +118,13 @@
           }),
       readiness_server_(
           context.get_executor(),
-          {.listen =
-               require_address(state_.settings.readiness_listen, "readiness")},
+          make_internal_options(
+              require_address(state_.settings.readiness_listen, "readiness")),
           [this](http::exchange& exchange)
           { return serve_readiness(exchange); }),
       metrics_server_(
-          context.get_executor(), {.listen = std::move(metrics_listen)},
+          context.get_executor(),
+          make_internal_options(std::move(metrics_listen)),
           [this](http::exchange& exchange) { return serve_metrics(exchange); }),
       state_updater_(context, state_, [this] { apply_server_limits(); })
 {
@@ -112,6 +159,23 @@
         .with("unread_bytes", closure.unread_bytes);
 }
 
+void app::record_eviction(const http::eviction& evicted)
+{
+    state_.metrics.count(
+        "wagtail_callers_evicted_total", "reason", name(evicted.reason));
+    const auto suppressed =
+        eviction_log_limiter_.try_acquire(monotonic_clock::now());
+    if (!suppressed)
+    {
+        return;
+    }
+    telemetry::event("caller_evicted")
+        .with("reason", name(evicted.reason))
+        .with("body_bytes", evicted.body_bytes)
+        .with("silence_us", evicted.silence.count())
+        .with("suppressed", *suppressed);
+}
+
 bool app::is_ready() const
 {
     return !state_.drain.response_deadline() && state_.routes &&
--- a/src/gateway/app.hpp
+++ b/src/gateway/app.hpp
@@ -36,11 +36,17 @@
     /// @param termination when the process is terminated by force
     asio::awaitable<void> finish_drain(mono_time termination);
     void record_idle_closure(const http::idle_closure& closure);
+    void record_eviction(const http::eviction& evicted);
     [[nodiscard]] bool is_ready() const;
     void apply_server_limits();
 
+    /// Evictions come in large numbers when callers exhaust a limit.
+    static constexpr std::uint32_t max_eviction_lines_per_second = 2;
+
     asio::io_context& context_;
     shared_state state_;
+    telemetry::log_rate_limiter eviction_log_limiter_{
+        max_eviction_lines_per_second};
     http::client upstream_client_;
     process_check process_check_;
     http::server caller_server_;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -15,7 +15,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <set>
+#include <map>
 
 namespace wagtailseam::http
 {
@@ -30,6 +30,72 @@
 /// Delay before the next accept after a failure or at the connection limit.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 
+/// Time after which a caller that was refused for lack of memory may return.
+constexpr const char* refusal_retry_after_s = "1";
+/// Multiple of the largest body for which the budget has room at least: a body
+/// occupies its memory twice while it is sent to an upstream.
+constexpr std::size_t min_budget_bodies = 4;
+
+/// A body in a string that grows as bytes arrive. Beast's string_body allocates
+/// the whole length that a caller announces.
+struct growing_body
+{
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template <bool is_request, class Fields>
+        reader(bhttp::header<is_request, Fields>&, value_type& body)
+            : body_(body)
+        {
+        }
+
+        void init(
+            const boost::optional<std::uint64_t>& length,
+            boost::system::error_code& error)
+        {
+            error = {};
+            announced_ = length.value_or(0);
+        }
+
+        template <class Buffers>
+        std::size_t put(
+            const Buffers& buffers, boost::system::error_code& error)
+        {
+            error = {};
+            const auto size = beast::buffer_bytes(buffers);
+            grow_to(body_.size() + size);
+            for (const auto buffer : beast::buffers_range_ref(buffers))
+            {
+                body_.append(
+                    static_cast<const char*>(buffer.data()), buffer.size());
+            }
+            return size;
+        }
+
+        void finish(boost::system::error_code& error) { error = {}; }
+
+    private:
+        void grow_to(std::size_t needed)
+        {
+            if (needed <= body_.capacity())
+            {
+                return;
+            }
+            const auto doubled = std::max(needed, 2 * body_.capacity());
+            body_.reserve(
+                announced_ >= needed ? std::min(doubled, announced_) : doubled);
+        }
+
+        value_type& body_;
+        /// 0 if the body is chunked.
+        std::size_t announced_ = 0;
+    };
+};
+
+using request_parser = bhttp::request_parser<growing_body>;
+
 template <class Body>
 request to_request(bhttp::request<Body>&& message)
 {
@@ -71,14 +137,22 @@
 
 } // namespace
 
+std::string_view name(eviction_reason reason) noexcept
+{
+    return reason == eviction_reason::body_memory ? "body_memory"
+                                                  : "connection_limit";
+}
+
 struct server::state : std::enable_shared_from_this<server::state>
 {
     state(
         const asio::any_io_executor& executor,
         const server_options& initial_options, handler request_handler)
         : options(initial_options), handle(std::move(request_handler)),
-          acceptor(executor), retry_timer(executor)
+          acceptor(executor), retry_timer(executor),
+          bodies(initial_options.body_budget)
     {
+        set_limits(initial_options.limits);
     }
 
     server_options options;
@@ -87,9 +161,12 @@
     asio::steady_timer retry_timer;
     bool stopping = false;
     bool keep_alive_disabled = false;
+    body_budget bodies;
+    std::uint64_t accepted_connections = 0;
     /// All open connections. stop_accepting() closes those without a request.
-    std::set<exchange::connection*> connections;
+    std::map<connection_id, exchange::connection*> connections;
 
+    void set_limits(const server_limits& limits);
     void stop();
     asio::awaitable<void> accept_loop();
     /// Accepts the connections that wait in the queue of the listening socket.
@@ -100,6 +177,22 @@
     static void close_if_idle(exchange::connection& conn);
     /// Serves one request. Returns whether the connection stays open.
     asio::awaitable<bool> serve_one(exchange::connection& conn);
+    /// Refuses a request, or answers one that could not be read.
+    asio::awaitable<void> send_receive_error(
+        exchange::connection& conn, boost::system::error_code error);
+    /// Accounts for the memory of the connection's body. Returns whether the
+    /// budget has room for it.
+    bool account_body(
+        exchange::connection& conn, std::size_t bytes, bool is_complete);
+    /// Closes the connection from which no bytes have arrived for longest.
+    /// Returns whether there is one whose request is not being handled.
+    bool evict_most_silent();
+    void evict(exchange::connection& conn, eviction_reason reason);
+    /// Frees a body that will not be served, before its coroutine ends: until
+    /// then others may read as much.
+    static void discard_body(exchange::connection& conn);
+    void report_eviction(
+        const exchange::connection& conn, eviction_reason reason) const;
     /// Waits until bytes or the end of the connection can be read. Returns
     /// error::timeout if there is neither after the deadline. Bytes that have
     /// arrived when the process runs its handlers again are in time.
@@ -111,24 +204,22 @@
     /// Reads until the condition holds.
     /// @param limit time for all of it
     asio::awaitable<boost::system::error_code> parse_until(
-        exchange::connection& conn,
-        bhttp::request_parser<bhttp::string_body>& parser,
-        bool (bhttp::request_parser<bhttp::string_body>::*condition)() const,
-        duration limit);
+        exchange::connection& conn, request_parser& parser,
+        bool (request_parser::*condition)() const, duration limit);
     /// Reads one request into the parser.
     asio::awaitable<boost::system::error_code> receive(
-        exchange::connection& conn,
-        bhttp::request_parser<bhttp::string_body>& parser);
+        exchange::connection& conn, request_parser& parser);
 };
 
 struct exchange::connection : std::enable_shared_from_this<connection>
 {
-    connection(tcp::socket socket, server::state& server)
-        : stream(std::move(socket)), read_timer(stream.get_executor()),
-          owner(server)
+    connection(tcp::socket socket, server::state& server, connection_id number)
+        : id(number), stream(std::move(socket)),
+          read_timer(stream.get_executor()), owner(server)
     {
     }
 
+    const connection_id id;
     beast::tcp_stream stream;
     /// Ends a wait for bytes.
     asio::steady_timer read_timer;
@@ -137,6 +228,15 @@
     bool keep_alive = true;
     /// A part of a request has arrived, and the response has not ended.
     bool has_request = false;
+    /// The request was received, and its handler has not ended.
+    bool is_handled = false;
+    /// Closed in favour of others; its coroutine has not ended yet.
+    bool is_evicted = false;
+    /// Accounted memory of the body.
+    std::size_t body_bytes = 0;
+    /// The body that is being received; null if there is none.
+    std::string* body = nullptr;
+    mono_time last_arrival = monotonic_clock::now();
     bool waits_for_bytes = false;
     /// Whether the timer ended the last wait.
     bool read_timed_out = false;
@@ -291,9 +391,24 @@
     const auto size =
         conn.stream.socket().read_some(conn.buffer.prepare(read_size), error);
     conn.buffer.commit(size);
+    if (size > 0)
+    {
+        conn.last_arrival = monotonic_clock::now();
+    }
     return error;
 }
 
+/// Sends a refusal as far as the socket accepts it at once.
+void try_refuse(tcp::socket& socket)
+{
+    static const std::string refusal =
+        std::string("HTTP/1.1 503 Service Unavailable\r\nRetry-After: ") +
+        refusal_retry_after_s +
+        "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    boost::system::error_code ignored;
+    socket.write_some(asio::buffer(refusal), ignored);
+}
+
 } // namespace
 
 bool exchange::is_caller_connected()
@@ -335,7 +450,10 @@
         {
             co_return;
         }
-        if (error || connections.size() >= options.max_connections)
+        // An accept also fails for lack of descriptors.
+        const bool is_full =
+            error || connections.size() >= options.max_connections;
+        if (is_full && (!evict_most_silent() || error))
         {
             retry_timer.expires_after(accept_retry_delay);
             co_await retry_timer.async_wait(completion);
@@ -365,9 +483,9 @@
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
-    const auto conn =
-        std::make_shared<exchange::connection>(std::move(socket), *this);
-    connections.insert(conn.get());
+    const auto conn = std::make_shared<exchange::connection>(
+        std::move(socket), *this, connection_id{++accepted_connections});
+    connections.emplace(conn->id, conn.get());
     if (stopping)
     {
         close_if_idle(*conn);
@@ -395,11 +513,82 @@
     while (co_await serve_one(*conn))
     {
     }
-    connections.erase(conn.get());
+    connections.erase(conn->id);
     boost::system::error_code ignored;
     conn->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
 }
 
+void server::state::discard_body(exchange::connection& conn)
+{
+    if (conn.body != nullptr)
+    {
+        std::string().swap(*conn.body);
+    }
+}
+
+bool server::state::evict_most_silent()
+{
+    exchange::connection* most_silent = nullptr;
+    for (const auto& [id, conn] : connections)
+    {
+        if (!conn->is_handled && !conn->is_evicted &&
+            (most_silent == nullptr ||
+             conn->last_arrival < most_silent->last_arrival))
+        {
+            most_silent = conn;
+        }
+    }
+    if (most_silent != nullptr)
+    {
+        evict(*most_silent, eviction_reason::connection_limit);
+    }
+    return most_silent != nullptr;
+}
+
+void server::state::evict(exchange::connection& conn, eviction_reason reason)
+{
+    auto& socket = conn.stream.socket();
+    conn.is_evicted = true;
+    if (conn.has_request)
+    {
+        try_refuse(socket);
+    }
+    report_eviction(conn, reason);
+    discard_body(conn);
+    boost::system::error_code ignored;
+    socket.cancel(ignored);
+}
+
+void server::state::report_eviction(
+    const exchange::connection& conn, eviction_reason reason) const
+{
+    if (options.on_eviction)
+    {
+        options.on_eviction(
+            {.reason = reason,
+             .body_bytes = conn.body_bytes,
+             .silence = monotonic_clock::now() - conn.last_arrival});
+    }
+}
+
+bool server::state::account_body(
+    exchange::connection& conn, std::size_t bytes, bool is_complete)
+{
+    conn.body_bytes = bytes;
+    const auto answer = is_complete ? bodies.complete(conn.id, bytes)
+                                    : bodies.reserve(conn.id, bytes);
+    for (const auto& id : answer.evicted)
+    {
+        evict(*connections.at(id), eviction_reason::body_memory);
+    }
+    if (!answer.granted)
+    {
+        report_eviction(conn, eviction_reason::body_memory);
+        discard_body(conn);
+    }
+    return answer.granted;
+}
+
 asio::awaitable<boost::system::error_code> server::state::wait_readable(
     exchange::connection& conn, mono_time deadline)
 {
@@ -468,15 +657,18 @@
 }
 
 asio::awaitable<boost::system::error_code> server::state::parse_until(
-    exchange::connection& conn,
-    bhttp::request_parser<bhttp::string_body>& parser,
-    bool (bhttp::request_parser<bhttp::string_body>::*condition)() const,
-    duration limit)
+    exchange::connection& conn, request_parser& parser,
+    bool (request_parser::*condition)() const, duration limit)
 {
     const auto deadline =
         monotonic_clock::now() + limit + options.late_arrival_allowance;
     while (!(parser.*condition)())
     {
+        // An evicted body has been discarded.
+        if (conn.is_evicted)
+        {
+            co_return asio::error::operation_aborted;
+        }
         boost::system::error_code error;
         if (conn.buffer.size() > 0)
         {
@@ -486,6 +678,18 @@
         {
             co_return error;
         }
+        if (error && conn.buffer.size() > options.limits.max_header_bytes)
+        {
+            // The parser waits for the end of a chunk's header or of the
+            // trailers, whose size it does not limit.
+            co_return bhttp::error::header_limit;
+        }
+        const auto body_bytes = parser.get().body().capacity();
+        if (body_bytes > std::max(conn.body_bytes, std::string().capacity()) &&
+            !account_body(conn, body_bytes, false))
+        {
+            co_return asio::error::no_buffer_space;
+        }
         if ((parser.*condition)() || (!error && conn.buffer.size() > 0))
         {
             continue;
@@ -513,8 +717,7 @@
 }
 
 asio::awaitable<boost::system::error_code> server::state::receive(
-    exchange::connection& conn,
-    bhttp::request_parser<bhttp::string_body>& parser)
+    exchange::connection& conn, request_parser& parser)
 {
     if (conn.buffer.size() == 0)
     {
@@ -524,15 +727,15 @@
             co_return error;
         }
     }
+    // The request may have crossed an eviction.
+    conn.is_evicted = false;
     conn.has_request = true;
     // The limits may have changed while the connection was idle.
     const server_limits limits = options.limits;
     parser.body_limit(limits.max_body_bytes);
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     const auto header_error = co_await parse_until(
-        conn, parser,
-        &bhttp::request_parser<bhttp::string_body>::is_header_done,
-        limits.header_timeout);
+        conn, parser, &request_parser::is_header_done, limits.header_timeout);
     if (header_error || parser.is_done())
     {
         co_return header_error;
@@ -551,39 +754,88 @@
     }
     parser.eager(true);
     co_return co_await parse_until(
-        conn, parser, &bhttp::request_parser<bhttp::string_body>::is_done,
-        limits.idle_timeout);
+        conn, parser, &request_parser::is_done, limits.idle_timeout);
+}
+
+asio::awaitable<void> server::state::send_receive_error(
+    exchange::connection& conn, boost::system::error_code error)
+{
+    constexpr unsigned bad_request = 400;
+    constexpr unsigned payload_too_large = 413;
+    constexpr unsigned header_fields_too_large = 431;
+    constexpr unsigned service_unavailable = 503;
+    response message;
+    if (error == asio::error::no_buffer_space)
+    {
+        message = error_response(result_code::queue_full, service_unavailable);
+        message.headers.emplace_back("Retry-After", refusal_retry_after_s);
+    }
+    else if (error == bhttp::error::body_limit)
+    {
+        message =
+            error_response(result_code::body_too_large, payload_too_large);
+    }
+    else if (error == bhttp::error::header_limit)
+    {
+        message = error_response(
+            result_code::body_too_large, header_fields_too_large);
+    }
+    else
+    {
+        message = error_response(result_code::malformed_http, bad_request);
+    }
+    conn.keep_alive = false;
+    exchange failed(conn, request{});
+    (void)co_await failed.send(std::move(message));
 }
 
 asio::awaitable<bool> server::state::serve_one(exchange::connection& conn)
 {
-    bhttp::request_parser<bhttp::string_body> parser;
-    const auto error = co_await receive(conn, parser);
+    struct body_memory
+    {
+        body_memory(exchange::connection& receiver, std::string& body)
+            : conn(receiver)
+        {
+            conn.body = &body;
+        }
+        body_memory(const body_memory&) = delete;
+        body_memory& operator=(const body_memory&) = delete;
+        ~body_memory()
+        {
+            conn.owner.bodies.release(conn.id);
+            conn.body_bytes = 0;
+            conn.body = nullptr;
+        }
+        exchange::connection& conn;
+    };
+    request_parser parser;
+    const body_memory memory(conn, parser.get().body());
+    auto error = co_await receive(conn, parser);
+    // A body occupies its memory twice while it is sent to an upstream.
+    if (!error && conn.body_bytes > 0 &&
+        !account_body(conn, 2 * conn.body_bytes, true))
+    {
+        error = asio::error::no_buffer_space;
+    }
     const bool malformed =
         error &&
         error.category() ==
             bhttp::make_error_code(bhttp::error::bad_method).category() &&
         error != bhttp::error::end_of_stream &&
         error != bhttp::error::partial_message;
-    if (error && !malformed)
+    if (malformed || error == asio::error::no_buffer_space)
     {
-        co_return false;
+        co_await send_receive_error(conn, error);
     }
-    conn.keep_alive = !error && parser.get().keep_alive();
-    exchange current_exchange(
-        conn, error ? request{} : to_request(parser.release()));
     if (error)
     {
-        const bool body_over_limit = error == bhttp::error::body_limit;
-        const bool header_over_limit = error == bhttp::error::header_limit;
-        const auto code = body_over_limit || header_over_limit
-                              ? result_code::body_too_large
-                              : result_code::malformed_http;
-        (void)co_await current_exchange.send(error_response(
-            code, body_over_limit ? 413 : (header_over_limit ? 431 : 400)));
         co_return false;
     }
+    conn.body = nullptr;
+    conn.keep_alive = parser.get().keep_alive();
+    exchange current_exchange(conn, to_request(parser.release()));
     conn.stream.expires_never();
+    conn.is_handled = true;
     try
     {
         co_await handle(current_exchange);
@@ -593,7 +845,9 @@
         spdlog::error("event=handler_failed detail=\"{}\"", exception.what());
         conn.keep_alive = false;
     }
+    conn.is_handled = false;
     conn.has_request = false;
+    conn.last_arrival = monotonic_clock::now();
     co_return !conn.closes_after_response();
 }
 
@@ -628,7 +882,7 @@
     boost::system::error_code ignored;
     acceptor.close(ignored);
     retry_timer.cancel();
-    for (auto* const conn : connections)
+    for (const auto& [id, conn] : connections)
     {
         close_if_idle(*conn);
     }
@@ -640,9 +894,15 @@
     state_->stop();
 }
 
+void server::state::set_limits(const server_limits& limits)
+{
+    options.limits = limits;
+    bodies.ensure_capacity(min_budget_bodies * limits.max_body_bytes);
+}
+
 void server::set_limits(const server_limits& limits)
 {
-    state_->options.limits = limits;
+    state_->set_limits(limits);
 }
 
 void server::disable_keep_alive()
@@ -654,7 +914,7 @@
 {
     return static_cast<std::size_t>(std::count_if(
         state_->connections.begin(), state_->connections.end(),
-        [](const auto* conn) { return conn->has_request; }));
+        [](const auto& entry) { return entry.second->has_request; }));
 }
 
 std::uint16_t server::port() const noexcept
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -4,6 +4,7 @@
 
 #include "core/clock.hpp"
 #include "core/result.hpp"
+#include "http/body_budget.hpp"
 #include "http/message.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -109,6 +110,27 @@
     std::size_t unread_bytes = 0;
 };
 
+/// Why the server ended an unfinished request or closed a connection.
+enum class eviction_reason : std::uint8_t
+{
+    /// The bodies of all requests exceed their memory.
+    body_memory,
+    /// Another connection was accepted at the limit.
+    connection_limit,
+};
+
+[[nodiscard]] std::string_view name(eviction_reason reason) noexcept;
+
+/// A connection that the server closed in favour of others.
+struct eviction
+{
+    eviction_reason reason = eviction_reason::body_memory;
+    /// Memory of the unfinished body.
+    std::size_t body_bytes = 0;
+    /// Time since bytes last arrived.
+    duration silence{};
+};
+
 struct server_options
 {
     /// Address to listen on; port 0 selects a free port.
@@ -119,6 +141,12 @@
     duration late_arrival_allowance = std::chrono::seconds(5);
     /// Called after an idle connection was closed; may be empty.
     std::function<void(const idle_closure&)> on_idle_closure;
+    /// Called after an eviction; may be empty.
+    std::function<void(const eviction&)> on_eviction;
+    body_budget_options body_budget;
+    /// At this number the connection from which no bytes have arrived for
+    /// longest is closed in favour of a new one, unless its request is being
+    /// handled.
     std::size_t max_connections = 20'000;
     /// A connection is closed when a write does not complete in this time.
     duration write_timeout = std::chrono::seconds(30);
@@ -137,7 +165,8 @@
     server(const server&) = delete;
     server& operator=(const server&) = delete;
 
-    /// Sets the limits for requests that begin afterwards.
+    /// Sets the limits for requests that begin afterwards. The budget for
+    /// bodies has room for several of the largest size, whatever its options.
     void set_limits(const server_limits& limits);
 
     /// Closes each connection after its next response. New connections are
