Limit requests to cold upstreams, and leave evacuated data centres

Seen: upstreams that have just started, or whose data centre returns, are idle, so every gateway prefers them, far above the rate that they bear while cold. The operator's rows that evacuate a data centre were not read.

Change: the rate of a service's cold upstreams is divided among the gateways as rates that upstreams state are, from the list's word or after a failed connection; upstreams of evacuated data centres get no new attempts.

Tests: cold_upstream_test (with any number of gateways no second holds more than two slots allow), uneven_upstreams_test, documents_test.

--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -211,6 +211,13 @@
         "wagtail_upstreams_paused",
         static_cast<double>(
             state_.statements.record().paused_count(monotonic_clock::now())));
+    state_.metrics.set_gauge(
+        "wagtail_upstreams_cold",
+        static_cast<double>(
+            state_.statements.record().cold_count(monotonic_clock::now())));
+    state_.metrics.set_gauge(
+        "wagtail_data_centres_evacuated",
+        static_cast<double>(state_.upstreams.evacuated().size()));
     state_.metrics.set_gauge(
         "wagtail_operator_age_seconds",
         std::chrono::duration<double>(
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -19,6 +19,9 @@
 /// A running VM accepts a connection within a few round trips between data
 /// centres. A VM without power does not reply.
 constexpr std::chrono::milliseconds connect_timeout{120};
+/// Time within which an upstream that accepts no connections is assumed to have
+/// started again, and to be listed by then.
+constexpr std::chrono::seconds assumed_restart_time{2};
 /// Maximum number of dispatches per request, including refused ones.
 constexpr std::uint32_t max_dispatches = 4;
 /// Maximum number of waits per request for an upstream to become available.
@@ -602,6 +605,14 @@
     }
     if (failure.code == result_code::upstream_unreachable)
     {
+        if (const auto rate = state_.cold_rate(target.entry.service))
+        {
+            // It may be restarting under the same id, and is cold then before
+            // the list says so.
+            state_.statements.record_cold(
+                serving::process_of(target.entry), *rate,
+                assumed_restart_time + state_.cold_time(target.entry.service));
+        }
         end_attempt(target, serving::connect_failed{});
         record_.code = result_code::upstream_unreachable;
         return next_step::retry;
--- a/src/gateway/shared_state.cpp
+++ b/src/gateway/shared_state.cpp
@@ -87,4 +87,38 @@
         .crash_success_ratio = 0};
 }
 
+const serving::cold_start* shared_state::find_cold_start(
+    const serving::service_id& service) const
+{
+    if (!routes)
+    {
+        return nullptr;
+    }
+    const auto& cold_starts = routes->config().cold_starts;
+    const auto found = cold_starts.find(service);
+    return found == cold_starts.end() ? nullptr : &found->second;
+}
+
+duration shared_state::cold_time(const serving::service_id& service) const
+{
+    const auto* const cold = find_cold_start(service);
+    return cold != nullptr ? cold->time : duration::zero();
+}
+
+std::optional<rate_limit::request_rate> shared_state::cold_rate(
+    const serving::service_id& service) const
+{
+    const auto* const cold = find_cold_start(service);
+    if (cold == nullptr)
+    {
+        return std::nullopt;
+    }
+    // An interval of a second touches two of the slots by which gateways divide
+    // a rate.
+    const double rate = cold->rate.value();
+    const double bound = rate * settings.bounds.cold_rate_factor +
+                         settings.bounds.cold_rate_slack;
+    return rate_limit::request_rate{std::min(rate, std::floor(bound / 2))};
+}
+
 } // namespace wagtailseam::gateway
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -101,6 +101,12 @@
     /// Returns the newest announced weight version of a model, if any.
     [[nodiscard]] std::optional<weight_version> newest_weights(
         const model_id& model) const;
+    /// Returns the rate of requests to a cold upstream of a service that all
+    /// gateways divide; nullopt if its upstreams are never cold.
+    [[nodiscard]] std::optional<rate_limit::request_rate> cold_rate(
+        const serving::service_id& service) const;
+    /// Returns how long an upstream of a service is cold after its start.
+    [[nodiscard]] duration cold_time(const serving::service_id& service) const;
     /// Returns the retry budget of a service, and creates it if necessary.
     [[nodiscard]] retry::retry_budget& retry_budget_for(
         const serving::service_id& service);
@@ -116,6 +122,9 @@
     void apply_bounds(const platform::service_level_bounds& bounds);
 
 private:
+    /// Returns null if upstreams of the service are never cold.
+    [[nodiscard]] const serving::cold_start* find_cold_start(
+        const serving::service_id& service) const;
     [[nodiscard]] retry::retry_budget_options make_retry_budget_options() const;
     void update_retry_budgets();
 
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -105,8 +105,9 @@
           context, row_store_,
           {.table = platform::operator_table,
            .on_rows =
-               [this](auto rows, auto)
+               [this](auto rows, auto scope)
            {
+               apply_evacuations(rows, scope);
                asio::co_spawn(
                    context_, apply_operator_rows(std::move(rows)),
                    asio::detached);
@@ -354,6 +355,57 @@
     }
 }
 
+void state_updater::apply_evacuations(
+    const platform::row_set& rows, platform::row_scope scope)
+{
+    auto evacuated = scope == platform::row_scope::changes
+                         ? state_.upstreams.evacuated()
+                         : std::set<data_centre_id>{};
+    for (const auto& row : rows.rows)
+    {
+        if (const auto change = platform::decode_evacuation(row))
+        {
+            if (change->active)
+            {
+                evacuated.insert(change->data_centre);
+            }
+            else
+            {
+                evacuated.erase(change->data_centre);
+            }
+        }
+    }
+    const auto log_difference =
+        [](const auto& from, const auto& to, const char* name)
+    {
+        for (const auto& data_centre : to)
+        {
+            if (!from.contains(data_centre))
+            {
+                telemetry::event(name).with("data_centre", data_centre);
+            }
+        }
+    };
+    const auto& previous = state_.upstreams.evacuated();
+    log_difference(previous, evacuated, "data_centre_evacuated");
+    log_difference(evacuated, previous, "data_centre_restored");
+    state_.upstreams.set_evacuated(std::move(evacuated));
+}
+
+void state_updater::apply_cold_start(const serving::upstream& entry)
+{
+    const auto process = serving::process_of(entry);
+    const auto rate = state_.cold_rate(entry.service);
+    if (rate && entry.cold_left > duration::zero())
+    {
+        state_.statements.record_cold(process, *rate, entry.cold_left);
+    }
+    else
+    {
+        state_.statements.record_warm(process);
+    }
+}
+
 void state_updater::apply_configuration(
     std::shared_ptr<const serving::route_table> received, mono_time received_at)
 {
@@ -387,7 +439,15 @@
         state_.introduction_deadline =
             monotonic_clock::now() + max_introduction_time;
     }
+    const bool has_cold_starts =
+        state_.routes && !state_.routes->config().cold_starts.empty();
     state_.routes = received;
+    if (!has_cold_starts && !config.cold_starts.empty() &&
+        state_.upstream_list_read)
+    {
+        // The entries were read before it was known which rates they limit.
+        upstream_table_.refresh();
+    }
     state_.upstreams.set_services(config.services);
     stream_origin_sync_.apply_routes(config.routes);
     on_new_configuration_();
@@ -455,6 +515,7 @@
             {
                 state_.crashes.record_process_leaving(process);
             }
+            apply_cold_start(*entry);
         }
         if (entry && whole_table)
         {
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -69,6 +69,10 @@
 
     /// Decodes large rows on the worker's thread.
     asio::awaitable<void> apply_operator_rows(platform::row_set rows);
+    void apply_evacuations(
+        const platform::row_set& rows, platform::row_scope scope);
+    /// Limits the requests to an upstream if its entry says that it is cold.
+    void apply_cold_start(const serving::upstream& entry);
     void apply_upstream_rows(
         const platform::row_set& rows, platform::row_scope scope);
     void remove_upstream(const upstream_id& id);
--- a/src/gateway/statement_registry.cpp
+++ b/src/gateway/statement_registry.cpp
@@ -67,6 +67,26 @@
     }
 }
 
+void statement_registry::record_cold(
+    const upstream_process& process, rate_limit::request_rate rate,
+    duration time_left)
+{
+    const auto now = monotonic_clock::now();
+    if (!record_.record_cold(process, rate, time_left, now))
+    {
+        return;
+    }
+    if (const auto omitted_lines = log_limiter_.try_acquire(now))
+    {
+        telemetry::event("upstream_cold")
+            .with("upstream", process.id)
+            .with("rate", std::to_string(rate.value()))
+            .with("left_us", time_left.count())
+            .with("gateways", position_ ? position_->size : 0)
+            .with("lines_left_out", *omitted_lines);
+    }
+}
+
 void statement_registry::on_limit_change(
     std::function<void(const upstream_id&)> callback)
 {
--- a/src/gateway/statement_registry.hpp
+++ b/src/gateway/statement_registry.hpp
@@ -49,6 +49,15 @@
     /// leaves.
     void on_leaving(std::function<void(const upstream_process&)> callback);
 
+    /// Limits the rate of requests to a cold process.
+    void record_cold(
+        const upstream_process& process, rate_limit::request_rate rate,
+        duration time_left);
+    void record_warm(const upstream_process& process)
+    {
+        record_.record_warm(process);
+    }
+
     /// Sets the position of this gateway among all gateways.
     /// @return whether it changed
     bool set_position(const fleet_position& position);
--- a/src/serving/configuration.hpp
+++ b/src/serving/configuration.hpp
@@ -4,9 +4,11 @@
 
 #include "core/clock.hpp"
 #include "http/message.hpp"
+#include "rate_limit/limit_statement.hpp"
 #include "serving/ids.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -79,6 +81,15 @@
     byte_rate link_rate{1.0};
 };
 
+/// How an upstream of a service takes requests after its start.
+struct cold_start
+{
+    /// Time from the start of a process during which it is cold.
+    duration time{};
+    /// Requests that a cold process takes, from all gateways together.
+    rate_limit::request_rate rate;
+};
+
 struct workspace
 {
     workspace_id id;
@@ -104,6 +115,8 @@
     std::vector<route> routes;
     /// All services that it names, also those without a route.
     std::set<service_id> services;
+    /// Services whose upstreams are cold after their start.
+    std::map<service_id, cold_start> cold_starts;
     std::vector<cache_store> stores;
     std::vector<workspace> workspaces;
     request_limits limits;
@@ -117,6 +130,14 @@
     weight_version version;
 };
 
+/// The operator wants no new requests at the upstreams of a data centre.
+struct evacuation
+{
+    data_centre_id data_centre;
+    /// False once the operator has ended it.
+    bool active = true;
+};
+
 } // namespace wagtailseam::serving
 
 #endif
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -166,6 +166,7 @@
 {
     if (state.entry.service != query.service ||
         query.excluded.contains(state.entry.id) ||
+        evacuated_.contains(state.entry.data_centre) ||
         (query.software && *query.software != state.entry.software) ||
         (query.processes != nullptr &&
          query.processes->is_replaced(state.entry)) ||
@@ -292,7 +293,8 @@
     {
         return true;
     }
-    return is_draining_or_removed(found->second, now);
+    return is_draining_or_removed(found->second, now) ||
+           evacuated_.contains(found->second.entry.data_centre);
 }
 
 bool load_balancer::has_memory(
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -212,6 +212,16 @@
     /// services count for nothing. Before the first call all entries count.
     void set_services(std::set<service_id> services);
 
+    /// Sets the data centres whose upstreams get no new attempts.
+    void set_evacuated(std::set<data_centre_id> evacuated)
+    {
+        evacuated_ = std::move(evacuated);
+    }
+    [[nodiscard]] const std::set<data_centre_id>& evacuated() const noexcept
+    {
+        return evacuated_;
+    }
+
     /// Replaces the list. Upstreams missing from it are used for the grace
     /// period only.
     /// @return the entries of processes that have ended, as in upsert()
@@ -262,8 +272,8 @@
     /// Returns the time until an upstream of the service may be tried again.
     [[nodiscard]] duration retry_after(
         const service_id& service, mono_time now) const;
-    /// Returns whether the upstream is draining, removed or unknown, so that it
-    /// gets no new requests.
+    /// Returns whether the upstream is draining, removed, unknown or in a data
+    /// centre that is evacuated, so that it gets no new requests.
     [[nodiscard]] bool is_leaving(const upstream_id& id, mono_time now) const;
 
     void begin_attempt(const upstream_id& id, const prompt_load& load);
@@ -380,6 +390,7 @@
     std::map<upstream_id, upstream_state> upstreams_;
     /// @invariant contains each upstream under the address of its entry
     std::map<http::address, std::set<upstream_id>> upstreams_by_address_;
+    std::set<data_centre_id> evacuated_;
     /// Unset before the first configuration.
     std::optional<std::set<service_id>> named_services_;
     /// Start times of processes whose departure was confirmed.
--- a/src/serving/upstream.hpp
+++ b/src/serving/upstream.hpp
@@ -28,6 +28,9 @@
     /// Start time of its process in ms of its own wall clock; 0 if unknown.
     /// Distinguishes successive processes at the same address.
     std::uint64_t started_ms = 0;
+    /// How long it stayed cold when the entry was read: it then takes requests
+    /// at a limited rate only. Zero if it is not cold.
+    duration cold_left{};
     /// Running weight version by model; empty for services without models.
     std::map<model_id, weight_version> weights;
 
--- a/src/upstream_statement/statement_record.cpp
+++ b/src/upstream_statement/statement_record.cpp
@@ -124,9 +124,72 @@
             processes.insert(limit->process);
         }
     }
+    for (const auto& id : cold_limits_.exhausted(wall_now))
+    {
+        const auto found = cold_.find(id);
+        if (found != cold_.end() && now < found->second.until)
+        {
+            processes.insert({id, found->second.started_ms});
+        }
+    }
     return processes;
 }
 
+bool statement_record::is_cold(
+    const upstream_process& process, mono_time now) const
+{
+    const auto found = cold_.find(process.id);
+    return found != cold_.end() &&
+           found->second.started_ms == process.started_ms &&
+           now < found->second.until;
+}
+
+bool statement_record::record_cold(
+    const upstream_process& process, rate_limit::request_rate rate,
+    duration time_left, mono_time now)
+{
+    std::erase_if(
+        cold_,
+        [&](const auto& entry)
+        {
+            const auto& [id, known] = entry;
+            const bool is_over =
+                known.until <= now ||
+                (id == process.id && known.started_ms < process.started_ms);
+            if (is_over)
+            {
+                cold_limits_.erase({id, known.started_ms});
+            }
+            return is_over;
+        });
+    const auto [known, is_new] = cold_.try_emplace(
+        process.id, cold_state{.started_ms = process.started_ms});
+    if (known->second.started_ms > process.started_ms)
+    {
+        return false;
+    }
+    known->second.until = std::max(known->second.until, now + time_left);
+    (void)cold_limits_.record_response(process, rate, now, now);
+    return is_new;
+}
+
+void statement_record::record_warm(const upstream_process& process)
+{
+    const auto found = cold_.find(process.id);
+    if (found != cold_.end() && found->second.started_ms <= process.started_ms)
+    {
+        cold_limits_.erase(process);
+        cold_.erase(found);
+    }
+}
+
+std::size_t statement_record::cold_count(mono_time now) const noexcept
+{
+    return static_cast<std::size_t>(std::count_if(
+        cold_.begin(), cold_.end(),
+        [&](const auto& entry) { return now < entry.second.until; }));
+}
+
 restriction_end statement_record::first_end(
     const std::set<upstream_process>& processes, mono_time now,
     wall_time wall_now) const
@@ -134,6 +197,13 @@
     restriction_end first{
         .reason = restriction::leaving, .remaining = duration::max()};
     std::set<upstream_id> only_limited;
+    const auto set_first = [&](duration remaining)
+    {
+        if (remaining < first.remaining)
+        {
+            first = {restriction::limited, remaining};
+        }
+    };
     for (const auto& process : processes)
     {
         const state* const known = find(process);
@@ -141,7 +211,15 @@
         {
             continue;
         }
-        if (known == nullptr || now >= known->paused_until)
+        const bool is_paused = known != nullptr && now < known->paused_until;
+        if (!is_paused && is_cold(process, now))
+        {
+            set_first(std::min(
+                cold_limits_.next_share({process.id}, wall_now),
+                cold_.at(process.id).until - now));
+            continue;
+        }
+        if (!is_paused)
         {
             only_limited.insert(process.id);
             continue;
@@ -153,11 +231,7 @@
     }
     if (!only_limited.empty())
     {
-        const auto share = limits_.next_share(only_limited, wall_now);
-        if (share < first.remaining)
-        {
-            first = {restriction::limited, share};
-        }
+        set_first(limits_.next_share(only_limited, wall_now));
     }
     if (first.reason == restriction::leaving)
     {
@@ -169,6 +243,7 @@
 void statement_record::erase(const upstream_process& process)
 {
     limits_.erase(process);
+    record_warm(process);
     const auto found = states_.find(process.id);
     if (found != states_.end() &&
         found->second.started_ms <= process.started_ms &&
--- a/src/upstream_statement/statement_record.hpp
+++ b/src/upstream_statement/statement_record.hpp
@@ -1,5 +1,5 @@
-// What each upstream has stated about itself in its responses: that it leaves,
-// that it wants a pause, and how many requests it takes.
+// What each upstream has stated about itself: that it leaves, that it wants a
+// pause, how many requests it takes, and that it is cold.
 #ifndef WAGTAILSEAM_UPSTREAM_STATEMENT_STATEMENT_RECORD_HPP
 #define WAGTAILSEAM_UPSTREAM_STATEMENT_STATEMENT_RECORD_HPP
 
@@ -67,9 +67,14 @@
     void set_position(const fleet_position& position) noexcept
     {
         limits_.set_position(position);
+        cold_limits_.set_position(position);
     }
     /// Takes no share of limits until the position is set again.
-    void clear_position() noexcept { limits_.clear_position(); }
+    void clear_position() noexcept
+    {
+        limits_.clear_position();
+        cold_limits_.clear_position();
+    }
 
     /// Applies what a response states. A pause ends only by time, and leaving
     /// never ends.
@@ -105,8 +110,19 @@
     void record_request(const upstream_id& id, wall_time now)
     {
         limits_.record_request(id, now);
+        cold_limits_.record_request(id, now);
     }
 
+    /// Limits the rate of requests to a process until it is warm. A rate that
+    /// a response states holds beside this one.
+    /// @return whether it was not known to be cold
+    bool record_cold(
+        const upstream_process& process, rate_limit::request_rate rate,
+        duration time_left, mono_time now);
+    /// Records that a process is warm.
+    void record_warm(const upstream_process& process);
+    [[nodiscard]] std::size_t cold_count(mono_time now) const noexcept;
+
     /// Drops the limit and the pause of a process that is not listed any more.
     /// Its leaving stays known, since the list may contain it again.
     void erase(const upstream_process& process);
@@ -132,8 +148,21 @@
     /// Returns the state of exactly this process, or nullptr.
     [[nodiscard]] const state* find(const upstream_process& process) const;
 
+    struct cold_state
+    {
+        std::uint64_t started_ms = 0;
+        mono_time until;
+    };
+
+    [[nodiscard]] bool is_cold(
+        const upstream_process& process, mono_time now) const;
+
     statement_record_options options_;
     rate_limit::upstream_limits limits_;
+    /// Limits of cold processes. They end by time.
+    rate_limit::upstream_limits cold_limits_;
+    /// @invariant contains each upstream of cold_limits_
+    std::map<upstream_id, cold_state> cold_;
     /// Pauses and leaving. At most options_.max_upstreams.
     std::map<upstream_id, state> states_;
 };
