Learn the speed of upstreams and balance by it

Upstreams of one service differ in speed and slow down before they are full. Upstreams that differ by less than a quarter are served as before.

--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -436,6 +436,7 @@
 void app::send_status_to_gateways()
 {
     const auto now = monotonic_clock::now();
+    status_.time_ratio = speed_.ratio(now);
     if (!prefill_reports_.has_live_reports(now))
     {
         send(
@@ -463,8 +464,15 @@
 void app::handle_prefill_report(std::string_view datagram)
 {
     const auto report = engine_status::decode_prefill_report(datagram);
-    if (report && report.value().upstream == own_id_ &&
-        prefill_reports_.update(report.value(), monotonic_clock::now()))
+    if (!report || report.value().upstream != own_id_)
+    {
+        return;
+    }
+    const auto now = monotonic_clock::now();
+    speed_.report(
+        report.value().gateway, report.value().incarnation,
+        report.value().measured, now);
+    if (prefill_reports_.update(report.value(), now))
     {
         schedule_prefill_update();
     }
--- a/src/agent/app.hpp
+++ b/src/agent/app.hpp
@@ -106,6 +106,7 @@
     mono_time status_sent_at_;
     mono_time agents_updated_at_;
     engine_status::prefill_report_table prefill_reports_;
+    upstream_speed::speed_collector speed_;
     asio::steady_timer prefill_update_timer_;
     bool prefill_update_pending_ = false;
     mono_time load_logged_at_;
--- a/src/engine_status/prefill_report.cpp
+++ b/src/engine_status/prefill_report.cpp
@@ -25,7 +25,8 @@
         {report.gateway.value(), report.upstream.value(), report.incarnation,
          report.sequence_number, report.pending_prefill.prompts,
          report.pending_prefill.prefill_time.count(),
-         report.pending_prefill.tokens.value()});
+         report.pending_prefill.tokens.value(), report.measured.responses,
+         report.measured.observed.count(), report.measured.expected.count()});
     std::string datagram(1, type_tag);
     json::to_msgpack(document, datagram);
     return datagram;
@@ -46,21 +47,33 @@
     const auto document = json::from_msgpack(datagram.substr(1), true, false);
     // Absent in reports of earlier releases.
     constexpr std::size_t tokens_index = 6;
+    constexpr std::size_t measured_index = 7;
     try
     {
         const token_count tokens{
             document.size() > tokens_index
                 ? document.at(tokens_index).get<std::uint64_t>()
                 : 0};
+        upstream_speed::measured_times measured;
+        if (document.size() > measured_index)
+        {
+            measured = {
+                .responses = document.at(measured_index).get<std::uint64_t>(),
+                .observed = duration(
+                    document.at(measured_index + 1).get<duration::rep>()),
+                .expected = duration(
+                    document.at(measured_index + 2).get<duration::rep>())};
+        }
         return prefill_report{
             .gateway = vm_id{document.at(0).get<std::string>()},
             .upstream = upstream_id{document.at(1).get<std::string>()},
             .incarnation = document.at(2).get<std::uint64_t>(),
             .sequence_number = document.at(3).get<std::uint64_t>(),
-            .pending_prefill = {
-                .prompts = document.at(4).get<std::uint32_t>(),
-                .prefill_time = duration(document.at(5).get<duration::rep>()),
-                .tokens = tokens}};
+            .pending_prefill =
+                {.prompts = document.at(4).get<std::uint32_t>(),
+                 .prefill_time = duration(document.at(5).get<duration::rep>()),
+                 .tokens = tokens},
+            .measured = measured};
     }
     catch (const json::exception& exception)
     {
--- a/src/engine_status/prefill_report.hpp
+++ b/src/engine_status/prefill_report.hpp
@@ -7,6 +7,7 @@
 #include "core/clock.hpp"
 #include "core/result.hpp"
 #include "serving/upstream.hpp"
+#include "upstream_speed/speed_estimate.hpp"
 
 #include <cstdint>
 #include <map>
@@ -26,6 +27,8 @@
     std::uint64_t sequence_number = 0;
     /// Requests sent to the engine whose first response byte is outstanding.
     serving::pending_prefill pending_prefill;
+    /// Of all responses of the engine to this incarnation of the gateway.
+    upstream_speed::measured_times measured;
 };
 
 /// Encodes a report as a datagram. Each report is complete, so the next one
--- a/src/engine_status/slice.cmake
+++ b/src/engine_status/slice.cmake
@@ -1,1 +1,1 @@
-wagtail_slice(engine_status DEPENDS wagtail_core wagtail_serving wagtail_platform wagtail_telemetry)
+wagtail_slice(engine_status DEPENDS wagtail_core wagtail_serving wagtail_upstream_speed wagtail_platform wagtail_telemetry)
--- a/src/engine_status/status.cpp
+++ b/src/engine_status/status.cpp
@@ -30,6 +30,10 @@
         document["t"] = value.prefill_of_other_gateways->prefill_time.count();
         document["s"] = value.prefill_of_other_gateways->tokens.value();
     }
+    if (value.time_ratio)
+    {
+        document["v"] = *value.time_ratio;
+    }
     std::string datagram;
     nlohmann::json::to_msgpack(document, datagram);
     return datagram;
@@ -69,6 +73,10 @@
                 .prefill_time = duration(document.at("t").get<duration::rep>()),
                 .tokens = token_count{document.value("s", std::uint64_t{0})}};
         }
+        if (document.contains("v"))
+        {
+            value.time_ratio = document.at("v").get<double>();
+        }
         return value;
     }
     catch (const nlohmann::json::exception& exception)
--- a/src/engine_status/status.hpp
+++ b/src/engine_status/status.hpp
@@ -38,6 +38,9 @@
     /// receiver, which knows its own more recently. Not set if the agent has no
     /// valid report from any gateway.
     std::optional<serving::pending_prefill> prefill_of_other_gateways;
+    /// How many times longer than expected its responses take, according to
+    /// all gateways. Not set if too few were measured.
+    std::optional<double> time_ratio;
 
     friend bool operator==(const status&, const status&) = default;
 };
--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -211,6 +211,10 @@
         "wagtail_upstreams_paused",
         static_cast<double>(
             state_.statements.record().paused_count(monotonic_clock::now())));
+    state_.metrics.set_gauge(
+        "wagtail_uneven_upstreams",
+        static_cast<double>(
+            state_.upstreams.uneven_upstreams(monotonic_clock::now()).size()));
     state_.metrics.set_gauge(
         "wagtail_upstreams_cold",
         static_cast<double>(
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -22,6 +22,12 @@
 /// Time within which an upstream that accepts no connections is assumed to have
 /// started again, and to be listed by then.
 constexpr std::chrono::seconds assumed_restart_time{2};
+/// Time to the first byte of an engine beside wait and prefill: the first step
+/// and the network.
+constexpr std::chrono::milliseconds usual_first_byte_time{50};
+/// Unit of the response times of upstreams that are no engines. Only their
+/// quotients count.
+constexpr std::chrono::milliseconds usual_response_time{30};
 /// Maximum number of dispatches per request, including refused ones.
 constexpr std::uint32_t max_dispatches = 4;
 /// Maximum number of waits per request for an upstream to become available.
@@ -492,19 +498,41 @@
         .load = load,
         .dispatched_at = attempt_began_at_,
         .expected_wait = target.expected_wait,
+        .slowness = target.slowness,
         .main_cache_source = planned.main_cache_source};
     state_.on_pending_prefill_changed(id);
 }
 
+void request_handler::record_speed(
+    const pending_prompt& prompt, mono_time first_byte_at)
+{
+    duration expected = usual_response_time;
+    if (request_.call.prompt)
+    {
+        const std::chrono::duration<double, std::micro> usual_wait(
+            static_cast<double>(prompt.expected_wait.count()) /
+            prompt.slowness);
+        expected = usual_first_byte_time + prompt.load.prefill_time +
+                   std::chrono::duration_cast<duration>(usual_wait);
+    }
+    state_.upstreams.record_first_byte(
+        prompt.upstream, first_byte_at - prompt.dispatched_at, expected,
+        first_byte_at);
+}
+
 void request_handler::finish_prefill(bool response_began)
 {
     if (!pending_prompt_)
     {
         return;
     }
+    const auto ended_at = monotonic_clock::now();
     state_.upstreams.finish_prefill(
-        pending_prompt_->upstream, pending_prompt_->load,
-        monotonic_clock::now());
+        pending_prompt_->upstream, pending_prompt_->load, ended_at);
+    if (response_began)
+    {
+        record_speed(*pending_prompt_, ended_at);
+    }
     state_.on_pending_prefill_changed(pending_prompt_->upstream);
     if (response_began && request_.call.prompt)
     {
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -355,8 +355,11 @@
         serving::prompt_load load;
         mono_time dispatched_at;
         duration expected_wait{};
+        double slowness = 1;
         std::optional<http::address> main_cache_source;
     };
+    /// Records how long the first byte of a response took.
+    void record_speed(const pending_prompt& prompt, mono_time first_byte_at);
     /// What began the stream. Only upstreams of this service and version may
     /// continue it. Unset before the first event of a new stream.
     std::optional<stream_origin::origin> stream_origin_;
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -42,6 +42,10 @@
 constexpr std::chrono::milliseconds max_resync_delay{100};
 /// Agents discard reports that are not renewed within 1.3 s.
 constexpr std::chrono::milliseconds prefill_report_interval{400};
+/// Multiples of the median of its service from which an upstream is reported
+/// as slow, and below which it has recovered.
+constexpr double reported_slowness = 1.5;
+constexpr double recovered_slowness = 1.25;
 /// Handlers that start later than this after they were due are reported.
 constexpr std::chrono::milliseconds reported_handler_delay{100};
 constexpr std::chrono::milliseconds store_connect_timeout{300};
@@ -236,7 +240,8 @@
          .memory = status.memory,
          .loading_weights = status.loading,
          .weights = status.weights,
-         .prefill_of_other_gateways = status.prefill_of_other_gateways},
+         .prefill_of_other_gateways = status.prefill_of_other_gateways,
+         .time_ratio = status.time_ratio},
         monotonic_clock::now());
 }
 
@@ -252,7 +257,8 @@
         .upstream = id,
         .incarnation = incarnation_,
         .sequence_number = ++report_sequence_number_,
-        .pending_prefill = state_.upstreams.own_pending_prefill(id)});
+        .pending_prefill = state_.upstreams.own_pending_prefill(id),
+        .measured = state_.upstreams.measured_times(id)});
     send_datagram(datagram, agent->second);
 }
 
@@ -272,6 +278,7 @@
         const auto due = monotonic_clock::now() + prefill_report_interval;
         co_await sleep_for(prefill_report_interval);
         record_handler_delay(monotonic_clock::now() - due);
+        log_slow_upstreams();
         for (const auto& id : state_.upstreams.upstreams_with_own_prefill())
         {
             send_prefill_report(id);
@@ -279,6 +286,36 @@
     }
 }
 
+void state_updater::log_slow_upstreams()
+{
+    std::set<upstream_id> slow;
+    for (const auto& [id, slowness] :
+         state_.upstreams.uneven_upstreams(monotonic_clock::now()))
+    {
+        // Between both thresholds an upstream stays what it was.
+        const bool was_slow = slow_upstreams_.contains(id);
+        if (slowness < (was_slow ? recovered_slowness : reported_slowness))
+        {
+            continue;
+        }
+        slow.insert(id);
+        if (!was_slow)
+        {
+            telemetry::event("upstream_slow")
+                .with("upstream", id)
+                .with("slowness_percent", static_cast<int>(slowness * 100));
+        }
+    }
+    for (const auto& id : slow_upstreams_)
+    {
+        if (!slow.contains(id))
+        {
+            telemetry::event("upstream_recovered").with("upstream", id);
+        }
+    }
+    slow_upstreams_ = std::move(slow);
+}
+
 void state_updater::record_handler_delay(duration delay)
 {
     state_.metrics.observe_duration(
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -51,6 +51,9 @@
     /// Reports this gateway's pending prefill at an engine to its agent.
     void send_prefill_report(const upstream_id& id);
     asio::awaitable<void> renew_prefill_reports();
+    /// Logs which upstreams have become slower than the others of their
+    /// service, and which no longer are.
+    void log_slow_upstreams();
     void handle_store_update(std::string_view datagram);
     /// @param delay from the time at which a handler was due to its start
     void record_handler_delay(duration delay);
@@ -128,6 +131,7 @@
     /// When an agent last relayed an update of each store.
     std::map<service_id, mono_time> last_relayed_update_;
     std::set<service_id> resyncing_stores_;
+    std::set<upstream_id> slow_upstreams_;
     mono_time started_at_ = monotonic_clock::now();
     bool awaiting_first_operator_read_ = true;
 };
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -140,10 +140,10 @@
 }
 
 duration load_balancer::cost(
-    const upstream_state& state, const upstream_query& query,
-    mono_time now) const
+    const upstream_state& state, const upstream_query& query, duration wait,
+    double slowness, mono_time now) const
 {
-    duration sum = expected_wait(state, now);
+    duration sum = wait + scale(options_.usual_service_time, slowness - 1);
     sum += scale(options_.failure_cost, decayed_failure_share(state, now));
     if (state.entry.data_centre == query.local_data_centre)
     {
@@ -186,6 +186,7 @@
     const upstream_query& query, random_source& random, mono_time now) const
 {
     candidate_list found;
+    const auto speeds = make_speed_scale(query.service, now);
     for (const auto& [id, state] : upstreams_)
     {
         if (!is_eligible(state, query, now))
@@ -206,7 +207,8 @@
                 next_report, found.min_excess_wait.value_or(next_report));
             continue;
         }
-        const duration wait = expected_wait(state, now);
+        const double slowness = speeds.slowness(time_ratio(state, now));
+        const duration wait = scale(expected_wait(state, now), slowness);
         if (query.max_wait && wait > *query.max_wait)
         {
             const duration excess = wait - *query.max_wait;
@@ -224,7 +226,11 @@
         const auto affinity = routing::rendezvous_weight(
             query.affinity_key, routing::stable_hash(id.value()));
         found.candidates.push_back(
-            {&state, cost(state, query, now) + noise, affinity});
+            {.state = &state,
+             .cost = cost(state, query, wait, slowness, now) + noise,
+             .expected_wait = wait,
+             .slowness = slowness,
+             .affinity = affinity});
     }
     return found;
 }
@@ -263,7 +269,8 @@
         .running_version = query.model
                                ? version_of_model(state.entry, *query.model)
                                : std::nullopt,
-        .expected_wait = expected_wait(state, now),
+        .expected_wait = best->expected_wait,
+        .slowness = best->slowness,
         .cost = best->cost,
         .in_flight = state.in_flight,
         .failure_share = decayed_failure_share(state, now)};
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -8,6 +8,7 @@
 #include "serving/memory_estimate.hpp"
 #include "serving/running_processes.hpp"
 #include "serving/upstream.hpp"
+#include "upstream_speed/speed_estimate.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -87,6 +88,9 @@
     /// Work that other gateways reported for the engine, some 10 ms old. If
     /// unset, the much older report of the engine itself is used.
     std::optional<pending_prefill> prefill_of_other_gateways;
+    /// How many times longer than expected its responses take, as all gateways
+    /// measure it; nullopt if unknown.
+    std::optional<double> time_ratio;
 };
 
 struct load_balancer_options
@@ -114,6 +118,9 @@
     /// Cost differences below this are ignored if the gateways exchange their
     /// pending prefills: they lie within the work sent since the last exchange.
     duration cost_tolerance = std::chrono::milliseconds(15);
+    /// Time that a request usually takes at an upstream; a slower one takes
+    /// this much more for each multiple of the median.
+    duration usual_service_time = std::chrono::milliseconds(60);
     /// Delay caused by each request that generates tokens.
     duration wait_per_run = std::chrono::milliseconds(2);
     /// Maximum age of a load report.
@@ -172,6 +179,9 @@
     std::optional<weight_version> running_version;
     /// Time until its engine starts on the request.
     duration expected_wait{};
+    /// How many times slower it is than the median of its service; already part
+    /// of the expected wait.
+    double slowness = 1;
     /// The basis of the choice, for the log.
     duration cost{};
     std::uint32_t in_flight = 0;
@@ -282,6 +292,18 @@
     /// @param load the value that was passed to begin_attempt
     void finish_prefill(
         const upstream_id& id, const prompt_load& load, mono_time now);
+    /// Records the time from a request to the first byte of its response.
+    /// @param expected for an upstream of usual speed
+    void record_first_byte(
+        const upstream_id& id, duration observed, duration expected,
+        mono_time now);
+    /// Returns the sums of what was recorded for an upstream.
+    [[nodiscard]] upstream_speed::measured_times measured_times(
+        const upstream_id& id) const;
+    /// Returns the upstreams that differ from the median of their service, with
+    /// how many times slower they are.
+    [[nodiscard]] std::map<upstream_id, double> uneven_upstreams(
+        mono_time now) const;
     /// Returns the pending prefills of this process at an upstream.
     [[nodiscard]] pending_prefill own_pending_prefill(
         const upstream_id& id) const;
@@ -329,12 +351,17 @@
         /// Not used before this time; after connection failures, one request
         /// then probes it.
         std::optional<mono_time> paused_until;
+        /// Since the process was listed.
+        upstream_speed::measured_times measured;
+        upstream_speed::speed_estimate own_speed;
     };
 
     struct candidate
     {
         const upstream_state* state = nullptr;
         duration cost{};
+        duration expected_wait{};
+        double slowness = 1;
         std::uint64_t affinity = 0;
     };
     struct candidate_list
@@ -375,12 +402,19 @@
         const upstream_state& state, mono_time now) const;
     [[nodiscard]] duration expected_wait(
         const upstream_state& state, mono_time now) const;
+    /// Returns the speed of an upstream; nullopt if unknown.
+    [[nodiscard]] std::optional<double> time_ratio(
+        const upstream_state& state, mono_time now) const;
+    /// Complexity: linear in the number of upstreams.
+    [[nodiscard]] upstream_speed::speed_scale make_speed_scale(
+        const service_id& service, mono_time now) const;
     /// Returns whether the engine has memory for the tokens.
     [[nodiscard]] bool has_memory(
         const upstream_state& state, token_count tokens, mono_time now) const;
+    /// @param wait expected at this upstream
     [[nodiscard]] duration cost(
-        const upstream_state& state, const upstream_query& query,
-        mono_time now) const;
+        const upstream_state& state, const upstream_query& query, duration wait,
+        double slowness, mono_time now) const;
     /// @param failure 1 for a failure, 0 for a success
     void update_failure_share(
         upstream_state& state, double failure, mono_time now);
--- a/src/serving/load_balancer_list.cpp
+++ b/src/serving/load_balancer_list.cpp
@@ -59,6 +59,7 @@
     if (is_other_process)
     {
         state.is_disproved = false;
+        state.own_speed = upstream_speed::speed_estimate{};
     }
     if (state.entry.address != listed.address)
     {
--- a/src/serving/slice.cmake
+++ b/src/serving/slice.cmake
@@ -1,1 +1,1 @@
-wagtail_slice(serving DEPENDS wagtail_core wagtail_http wagtail_rate_limit wagtail_retry wagtail_routing)
+wagtail_slice(serving DEPENDS wagtail_core wagtail_http wagtail_rate_limit wagtail_retry wagtail_routing wagtail_upstream_speed)
--- /dev/null
+++ b/src/serving/test/uneven_upstreams_test.cpp
@@ -0,0 +1,141 @@
+// Load on upstreams of one service that differ in speed, and on data centres
+// that are evacuated.
+#include "serving/load_balancer.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace wagtailseam::serving
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const service_id ledger{"ledger"};
+const data_centre_id near{"near"};
+const data_centre_id far{"far"};
+
+class uneven_upstreams_fixture : public testing::Test
+{
+protected:
+    void list(const std::string& id, const data_centre_id& data_centre = near)
+    {
+        balancer_.upsert(
+            {.id = upstream_id{id},
+             .service = ledger,
+             .address = http::address{"10.0.0." + id + ":80"},
+             .data_centre = data_centre,
+             .started_ms = 1});
+    }
+
+    /// Sends requests one after the other; an upstream answers in its time.
+    /// @return how many each upstream got
+    std::map<std::string, int> send(int count)
+    {
+        std::map<std::string, int> sent;
+        for (int i = 0; i < count; ++i)
+        {
+            const auto selection = balancer_.choose(
+                {.service = ledger, .local_data_centre = near}, random_, now_);
+            const auto* const chosen = std::get_if<chosen_upstream>(&selection);
+            if (chosen == nullptr)
+            {
+                ++sent["none"];
+                continue;
+            }
+            const auto& id = chosen->entry.id;
+            balancer_.begin_attempt(id, {});
+            now_ += milliseconds(20);
+            balancer_.record_first_byte(
+                id, response_times_[id.value()], milliseconds(30), now_);
+            balancer_.finish_prefill(id, {}, now_);
+            balancer_.end_attempt(id, answered{}, now_);
+            ++sent[id.value()];
+        }
+        return sent;
+    }
+
+    load_balancer balancer_;
+    std::map<std::string, milliseconds> response_times_{
+        {"1", milliseconds(30)},
+        {"2", milliseconds(30)},
+        {"3", milliseconds(30)}};
+    random_source random_{1};
+    mono_time now_{seconds(1000)};
+};
+
+TEST_F(uneven_upstreams_fixture, equal_upstreams_share_the_load)
+{
+    for (const auto* const id : {"1", "2", "3"})
+    {
+        list(id);
+    }
+    const auto sent = send(600);
+    for (const auto& [id, count] : sent)
+    {
+        EXPECT_GT(count, 150) << id;
+    }
+    EXPECT_TRUE(balancer_.uneven_upstreams(now_).empty());
+}
+
+TEST_F(uneven_upstreams_fixture, slow_upstream_gets_fewer_requests)
+{
+    for (const auto* const id : {"1", "2", "3"})
+    {
+        list(id);
+    }
+    response_times_["3"] = milliseconds(60);
+    (void)send(300);
+    auto sent = send(600);
+    EXPECT_LT(sent["3"], 120);
+    EXPECT_GT(sent["3"], 0);
+    EXPECT_EQ(balancer_.uneven_upstreams(now_).count(upstream_id{"3"}), 1U);
+}
+
+/// It would be avoided for good if its measurements did not fade.
+TEST_F(uneven_upstreams_fixture, recovered_upstream_gets_its_share_again)
+{
+    for (const auto* const id : {"1", "2", "3"})
+    {
+        list(id);
+    }
+    response_times_["3"] = milliseconds(240);
+    (void)send(600);
+    response_times_["3"] = milliseconds(30);
+    (void)send(3000);
+    auto sent = send(600);
+    EXPECT_GT(sent["3"], 120);
+}
+
+TEST_F(uneven_upstreams_fixture, slow_upstreams_alone_still_serve)
+{
+    list("3");
+    response_times_["3"] = milliseconds(240);
+    auto sent = send(100);
+    EXPECT_EQ(sent["3"], 100);
+}
+
+TEST_F(uneven_upstreams_fixture, evacuated_data_centre_gets_no_requests)
+{
+    list("1", near);
+    list("2", far);
+    balancer_.set_evacuated({near});
+    auto sent = send(50);
+    EXPECT_EQ(sent["2"], 50);
+    EXPECT_TRUE(balancer_.is_leaving(upstream_id{"1"}, now_));
+    balancer_.set_evacuated({});
+    EXPECT_GT(send(50)["1"], 0);
+}
+
+TEST_F(uneven_upstreams_fixture, evacuation_of_all_leaves_none)
+{
+    list("1", near);
+    balancer_.set_evacuated({near});
+    EXPECT_EQ(send(1)["none"], 1);
+}
+
+} // namespace
+} // namespace wagtailseam::serving
--- /dev/null
+++ b/src/upstream_speed/slice.cmake
@@ -0,0 +1,1 @@
+wagtail_slice(upstream_speed DEPENDS wagtail_core)
--- /dev/null
+++ b/src/upstream_speed/speed_estimate.hpp
@@ -0,0 +1,141 @@
+// Estimates how fast an upstream answers, from the times to the first bytes of
+// its responses.
+#ifndef WAGTAILSEAM_UPSTREAM_SPEED_SPEED_ESTIMATE_HPP
+#define WAGTAILSEAM_UPSTREAM_SPEED_SPEED_ESTIMATE_HPP
+
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace wagtailseam::upstream_speed
+{
+
+/// Sums over responses since the start of the process that measured them.
+struct measured_times
+{
+    std::uint64_t responses = 0;
+    /// Times from the requests to the first bytes of their responses.
+    duration observed{};
+    /// What was expected of an upstream of usual speed.
+    duration expected{};
+
+    friend bool operator==(const measured_times&, const measured_times&) =
+        default;
+};
+
+struct speed_estimate_options
+{
+    /// Half-life of a measurement. An upstream that is avoided becomes unknown
+    /// in a few half-lives, and so is tried again.
+    duration half_life = std::chrono::seconds(4);
+    /// Responses without which the speed is unknown, so that one slow response
+    /// does not count.
+    double min_responses = 6;
+    /// A single response counts as at most this multiple of what was expected:
+    /// a lost packet or a full queue is not a property of the upstream.
+    double max_ratio = 8;
+};
+
+/// Moving ratio of observed to expected times of one upstream. Performs no I/O.
+/// Not thread-safe. Constant memory and time.
+class speed_estimate
+{
+public:
+    explicit speed_estimate(const speed_estimate_options& options = {})
+        : options_(options)
+    {
+    }
+
+    void add(const measured_times& times, mono_time now);
+    /// Returns how many times longer than expected responses take; nullopt if
+    /// too few were measured recently.
+    [[nodiscard]] std::optional<double> ratio(mono_time now) const;
+
+private:
+    [[nodiscard]] double remaining_weight(mono_time now) const;
+
+    speed_estimate_options options_;
+    /// Decayed sums at `updated_`.
+    double responses_ = 0;
+    double observed_us_ = 0;
+    double expected_us_ = 0;
+    mono_time updated_;
+};
+
+struct speed_collector_options
+{
+    speed_estimate_options estimate;
+    /// Gateways beyond this number are ignored.
+    std::size_t max_gateways = 1024;
+};
+
+/// Combines the measurements of all gateways at one upstream. Gateways report
+/// sums, so a lost report loses no measurement.
+class speed_collector
+{
+public:
+    explicit speed_collector(const speed_collector_options& options = {});
+
+    /// @param incarnation identifies the run of the gateway's process
+    void report(
+        const vm_id& gateway, std::uint64_t incarnation,
+        const measured_times& total, mono_time now);
+    /// Forgets the speed of a process that has ended.
+    void reset();
+    [[nodiscard]] std::optional<double> ratio(mono_time now) const
+    {
+        return estimate_.ratio(now);
+    }
+
+private:
+    struct reported
+    {
+        std::uint64_t incarnation = 0;
+        measured_times total;
+    };
+
+    speed_collector_options options_;
+    speed_estimate estimate_;
+    std::map<vm_id, reported> reported_;
+};
+
+struct slowness_options
+{
+    /// Below this quotient of the largest and the smallest ratio upstreams
+    /// count as equal.
+    double notable_difference = 1.25;
+    double min_slowness = 0.5;
+    double max_slowness = 4;
+};
+
+/// Scale on which the ratios of one service's upstreams are compared.
+class speed_scale
+{
+public:
+    /// @param ratios those of the upstreams whose speed is known
+    explicit speed_scale(
+        std::vector<double> ratios, const slowness_options& options = {});
+
+    /// Returns how many times slower than the median an upstream is; 1 if its
+    /// speed is unknown or the upstreams count as equal.
+    [[nodiscard]] double slowness(const std::optional<double>& ratio) const;
+    /// Returns the median ratio; nullopt if no speed is known.
+    [[nodiscard]] std::optional<double> median() const noexcept
+    {
+        return median_;
+    }
+
+private:
+    slowness_options options_;
+    std::optional<double> median_;
+    bool differs_ = false;
+};
+
+} // namespace wagtailseam::upstream_speed
+
+#endif
