--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -171,9 +171,9 @@
     }
     telemetry::event("caller_evicted")
         .with("reason", name(evicted.reason))
-        .with("body_bytes", evicted.body_bytes)
+        .with("request_bytes", evicted.request_bytes)
         .with("silence_us", evicted.silence.count())
-        .with("suppressed", *suppressed);
+        .with("lines_left_out", *suppressed);
 }
 
 bool app::is_ready() const
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -304,9 +304,10 @@
 {
     auto reserved = std::exchange(next_upstream_, std::nullopt);
     // A reserved upstream may have left the list meanwhile.
-    const bool is_usable =
-        reserved && !state_.upstreams.is_leaving(
-                        reserved->entry.id, monotonic_clock::now());
+    const bool is_usable = reserved &&
+                           !state_.upstreams.is_leaving(
+                               reserved->entry.id, monotonic_clock::now()) &&
+                           !state_.upstreams.is_evacuated(reserved->entry.id);
     return is_usable ? std::move(reserved) : choose_upstream();
 }
 
@@ -633,10 +634,13 @@
     }
     if (failure.code == result_code::upstream_unreachable)
     {
-        if (const auto rate = state_.cold_rate(target.entry.service))
+        const auto rate = state_.cold_rate(target.entry.service);
+        const bool is_refused =
+            monotonic_clock::now() - attempt_began_at_ < connect_timeout;
+        if (rate && is_refused)
         {
-            // It may be restarting under the same id, and is cold then before
-            // the list says so.
+            // Its port is closed: it may be restarting under the same id, and
+            // is cold then before the list says so.
             state_.statements.record_cold(
                 serving::process_of(target.entry), *rate,
                 assumed_restart_time + state_.cold_time(target.entry.service));
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -395,9 +395,10 @@
 void state_updater::apply_evacuations(
     const platform::row_set& rows, platform::row_scope scope)
 {
-    auto evacuated = scope == platform::row_scope::changes
-                         ? state_.upstreams.evacuated()
-                         : std::set<data_centre_id>{};
+    // A restored table may lack recent rows.
+    auto evacuated = scope == platform::row_scope::whole_table
+                         ? std::set<data_centre_id>{}
+                         : state_.upstreams.evacuated();
     for (const auto& row : rows.rows)
     {
         if (const auto change = platform::decode_evacuation(row))
@@ -429,20 +430,46 @@
     state_.upstreams.set_evacuated(std::move(evacuated));
 }
 
-void state_updater::apply_cold_start(const serving::upstream& entry)
+void state_updater::apply_cold_start(
+    const serving::upstream& entry, platform::row_scope scope)
 {
     const auto process = serving::process_of(entry);
-    const auto rate = state_.cold_rate(entry.service);
-    if (rate && entry.cold_left > duration::zero())
+    auto cold_left = entry.cold_left;
+    if (!cold_left && scope == platform::row_scope::changes &&
+        !state_.upstreams.lists(process))
     {
-        state_.statements.record_cold(process, *rate, entry.cold_left);
+        cold_left = state_.cold_time(entry.service);
     }
-    else
+    if (!cold_left)
+    {
+        return;
+    }
+    if (*cold_left > duration::zero())
+    {
+        const auto [cold, is_new] = cold_entries_.insert_or_assign(
+            entry.id, cold_entry{
+                          .process = process,
+                          .service = entry.service,
+                          .until = monotonic_clock::now() + *cold_left});
+        limit_cold(cold->second);
+    }
+    else if (scope != platform::row_scope::restored_table)
     {
+        cold_entries_.erase(entry.id);
         state_.statements.record_warm(process);
     }
 }
 
+void state_updater::limit_cold(const cold_entry& entry)
+{
+    const auto rate = state_.cold_rate(entry.service);
+    const duration left = entry.until - monotonic_clock::now();
+    if (rate && left > duration::zero())
+    {
+        state_.statements.record_cold(entry.process, *rate, left);
+    }
+}
+
 void state_updater::apply_configuration(
     std::shared_ptr<const serving::route_table> received, mono_time received_at)
 {
@@ -476,14 +503,13 @@
         state_.introduction_deadline =
             monotonic_clock::now() + max_introduction_time;
     }
-    const bool has_cold_starts =
-        state_.routes && !state_.routes->config().cold_starts.empty();
     state_.routes = received;
-    if (!has_cold_starts && !config.cold_starts.empty() &&
-        state_.upstream_list_read)
+    std::erase_if(
+        cold_entries_, [now = monotonic_clock::now()](const auto& entry)
+        { return entry.second.until <= now; });
+    for (const auto& [id, entry] : cold_entries_)
     {
-        // The entries were read before it was known which rates they limit.
-        upstream_table_.refresh();
+        limit_cold(entry);
     }
     state_.upstreams.set_services(config.services);
     stream_origin_sync_.apply_routes(config.routes);
@@ -552,7 +578,7 @@
             {
                 state_.crashes.record_process_leaving(process);
             }
-            apply_cold_start(*entry);
+            apply_cold_start(*entry, scope);
         }
         if (entry && whole_table)
         {
@@ -597,6 +623,7 @@
         .with("upstream", id)
         .with("cause", may_have_lapsed ? "lapsed" : "removed")
         .with("grace_us", remaining_use.count());
+    cold_entries_.erase(id);
     const auto removed = state_.upstreams.remove(id, remaining_use, now);
     if (removed && !may_have_lapsed)
     {
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -74,8 +74,18 @@
     asio::awaitable<void> apply_operator_rows(platform::row_set rows);
     void apply_evacuations(
         const platform::row_set& rows, platform::row_scope scope);
-    /// Limits the requests to an upstream if its entry says that it is cold.
-    void apply_cold_start(const serving::upstream& entry);
+    struct cold_entry
+    {
+        upstream_process process;
+        service_id service;
+        mono_time until;
+    };
+
+    /// Limits the requests to an upstream if its entry says that it is cold, or
+    /// if it is new and its entry does not say.
+    void apply_cold_start(
+        const serving::upstream& entry, platform::row_scope scope);
+    void limit_cold(const cold_entry& entry);
     void apply_upstream_rows(
         const platform::row_set& rows, platform::row_scope scope);
     void remove_upstream(const upstream_id& id);
@@ -132,6 +142,9 @@
     std::map<service_id, mono_time> last_relayed_update_;
     std::set<service_id> resyncing_stores_;
     std::set<upstream_id> slow_upstreams_;
+    /// Entries that were cold when they were read, also those read before the
+    /// configuration that says which rate they allow.
+    std::map<upstream_id, cold_entry> cold_entries_;
     mono_time started_at_ = monotonic_clock::now();
     bool awaiting_first_operator_read_ = true;
 };
--- a/src/http/body_budget.cpp
+++ b/src/http/body_budget.cpp
@@ -41,16 +41,6 @@
     entries_.erase(found);
 }
 
-std::optional<body_budget::candidate> body_budget::largest_unfinished() const
-{
-    if (unfinished_.empty())
-    {
-        return std::nullopt;
-    }
-    const auto most_bytes = std::get<0>(*unfinished_.rbegin());
-    return *unfinished_.lower_bound({most_bytes, 0, connection_id{}});
-}
-
 reservation body_budget::resize(
     connection_id id, std::size_t bytes, bool is_complete)
 {
@@ -60,23 +50,29 @@
                            : static_cast<std::size_t>(
                                  static_cast<double>(options_.max_bytes) *
                                  options_.large_share);
+    // A request does not end smaller ones for its own memory.
     reservation answer;
-    while (used_ + bytes > limit)
+    std::size_t released = 0;
+    for (auto next = unfinished_.rbegin();
+         used_ - released + bytes > limit && next != unfinished_.rend() &&
+         std::get<0>(*next) >= bytes;
+         ++next)
+    {
+        released += std::get<0>(*next);
+        answer.evicted.push_back(std::get<2>(*next));
+    }
+    if (used_ - released + bytes > limit)
+    {
+        return {};
+    }
+    for (const auto& evicted : answer.evicted)
     {
-        const auto largest = largest_unfinished();
-        // A request does not end smaller ones for its own memory.
-        if (!largest || std::get<0>(*largest) < bytes)
-        {
-            return answer;
-        }
-        const auto evicted = std::get<2>(*largest);
         release(evicted);
-        answer.evicted.push_back(evicted);
     }
     entry added{.bytes = bytes, .progress = std::nullopt};
     if (!is_complete)
     {
-        added.progress = ++last_progress_;
+        added.progress = next_progress_--;
         unfinished_.insert({bytes, *added.progress, id});
     }
     entries_.emplace(id, added);
--- a/src/http/body_budget.hpp
+++ b/src/http/body_budget.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -44,7 +45,7 @@
 public:
     explicit body_budget(const body_budget_options& options = {});
 
-    /// Raises the budget, unless it is as large.
+    /// Raises the budget to at least this size.
     void ensure_capacity(std::size_t max_bytes);
 
     /// Sets the memory that a connection's unfinished body occupies.
@@ -61,26 +62,23 @@
     struct entry
     {
         std::size_t bytes = 0;
-        /// Position in the order of the last progress; unset if the body was
+        /// Decreases with each progress of any request; unset if the body was
         /// received completely.
         std::optional<std::uint64_t> progress;
     };
-    /// Bytes, order of the last progress, connection.
+    /// Bytes, inverse order of the last progress, connection: of several of one
+    /// size the one without progress for longest is the greatest.
     using candidate = std::tuple<std::size_t, std::uint64_t, connection_id>;
 
     [[nodiscard]] reservation resize(
         connection_id id, std::size_t bytes, bool is_complete);
-    /// Returns the unfinished request that occupies the most memory, of several
-    /// the one that made no progress for longest.
-    [[nodiscard]] std::optional<candidate> largest_unfinished() const;
-
     body_budget_options options_;
     std::map<connection_id, entry> entries_;
     /// @invariant contains the entries with a progress
     std::set<candidate> unfinished_;
     /// @invariant sum over entries_
     std::size_t used_ = 0;
-    std::uint64_t last_progress_ = 0;
+    std::uint64_t next_progress_ = std::numeric_limits<std::uint64_t>::max();
 };
 
 } // namespace wagtailseam::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -32,9 +32,12 @@
 
 /// Time after which a caller that was refused for lack of memory may return.
 constexpr const char* refusal_retry_after_s = "1";
-/// Multiple of the largest body for which the budget has room at least: a body
-/// occupies its memory twice while it is sent to an upstream.
-constexpr std::size_t min_budget_bodies = 4;
+/// Multiple of the largest body for which the budget has room at least: a
+/// chunked body may have allocated twice its size, and is copied when it is
+/// sent to an upstream.
+constexpr std::size_t min_budget_bodies = 6;
+/// Memory of a parsed header field beside its text.
+constexpr std::size_t header_field_bytes = 64;
 
 /// A body in a string that grows as bytes arrive. Beast's string_body allocates
 /// the whole length that a caller announces.
@@ -84,8 +87,12 @@
                 return;
             }
             const auto doubled = std::max(needed, 2 * body_.capacity());
-            body_.reserve(
+            // std::string::reserve() may allocate twice the capacity.
+            std::string grown;
+            grown.reserve(
                 announced_ >= needed ? std::min(doubled, announced_) : doubled);
+            grown.append(body_);
+            body_.swap(grown);
         }
 
         value_type& body_;
@@ -180,13 +187,14 @@
     /// Refuses a request, or answers one that could not be read.
     asio::awaitable<void> send_receive_error(
         exchange::connection& conn, boost::system::error_code error);
-    /// Accounts for the memory of the connection's body. Returns whether the
-    /// budget has room for it.
-    bool account_body(
+    /// Accounts for the memory of the connection's request. Returns whether
+    /// the budget has room for it.
+    bool account(
         exchange::connection& conn, std::size_t bytes, bool is_complete);
     /// Closes the connection from which no bytes have arrived for longest.
     /// Returns whether there is one whose request is not being handled.
     bool evict_most_silent();
+    [[nodiscard]] exchange::connection* find_most_silent() const;
     void evict(exchange::connection& conn, eviction_reason reason);
     /// Frees a body that will not be served, before its coroutine ends: until
     /// then others may read as much.
@@ -232,8 +240,10 @@
     bool is_handled = false;
     /// Closed in favour of others; its coroutine has not ended yet.
     bool is_evicted = false;
-    /// Accounted memory of the body.
-    std::size_t body_bytes = 0;
+    /// Accounted memory of the request.
+    std::size_t accounted_bytes = 0;
+    /// Memory of the parsed header.
+    std::size_t header_bytes = 0;
     /// The body that is being received; null if there is none.
     std::string* body = nullptr;
     mono_time last_arrival = monotonic_clock::now();
@@ -526,7 +536,7 @@
     }
 }
 
-bool server::state::evict_most_silent()
+exchange::connection* server::state::find_most_silent() const
 {
     exchange::connection* most_silent = nullptr;
     for (const auto& [id, conn] : connections)
@@ -538,11 +548,28 @@
             most_silent = conn;
         }
     }
-    if (most_silent != nullptr)
+    return most_silent;
+}
+
+bool server::state::evict_most_silent()
+{
+    for (std::size_t tries = connections.size(); tries > 0; --tries)
     {
-        evict(*most_silent, eviction_reason::connection_limit);
+        auto* const conn = find_most_silent();
+        if (conn == nullptr)
+        {
+            return false;
+        }
+        if (conn->has_request ||
+            peek(conn->stream.socket()) != socket_content::bytes)
+        {
+            evict(*conn, eviction_reason::connection_limit);
+            return true;
+        }
+        // Its next request has arrived and will be read.
+        conn->last_arrival = monotonic_clock::now();
     }
-    return most_silent != nullptr;
+    return false;
 }
 
 void server::state::evict(exchange::connection& conn, eviction_reason reason)
@@ -566,15 +593,15 @@
     {
         options.on_eviction(
             {.reason = reason,
-             .body_bytes = conn.body_bytes,
+             .request_bytes = conn.accounted_bytes,
              .silence = monotonic_clock::now() - conn.last_arrival});
     }
 }
 
-bool server::state::account_body(
+bool server::state::account(
     exchange::connection& conn, std::size_t bytes, bool is_complete)
 {
-    conn.body_bytes = bytes;
+    conn.accounted_bytes = bytes;
     const auto answer = is_complete ? bodies.complete(conn.id, bytes)
                                     : bodies.reserve(conn.id, bytes);
     for (const auto& id : answer.evicted)
@@ -684,9 +711,9 @@
             // trailers, whose size it does not limit.
             co_return bhttp::error::header_limit;
         }
-        const auto body_bytes = parser.get().body().capacity();
-        if (body_bytes > std::max(conn.body_bytes, std::string().capacity()) &&
-            !account_body(conn, body_bytes, false))
+        const auto bytes = parser.get().body().capacity() +
+                           conn.buffer.capacity() + conn.header_bytes;
+        if (bytes > conn.accounted_bytes && !account(conn, bytes, false))
         {
             co_return asio::error::no_buffer_space;
         }
@@ -727,7 +754,7 @@
             co_return error;
         }
     }
-    // The request may have crossed an eviction.
+    // Bytes arrived before an eviction took effect; the request is served.
     conn.is_evicted = false;
     conn.has_request = true;
     // The limits may have changed while the connection was idle.
@@ -736,6 +763,11 @@
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     const auto header_error = co_await parse_until(
         conn, parser, &request_parser::is_header_done, limits.header_timeout);
+    for (const auto& field : parser.get())
+    {
+        conn.header_bytes += header_field_bytes + field.name_string().size() +
+                             field.value().size();
+    }
     if (header_error || parser.is_done())
     {
         co_return header_error;
@@ -803,7 +835,8 @@
         ~body_memory()
         {
             conn.owner.bodies.release(conn.id);
-            conn.body_bytes = 0;
+            conn.accounted_bytes = 0;
+            conn.header_bytes = 0;
             conn.body = nullptr;
         }
         exchange::connection& conn;
@@ -811,9 +844,9 @@
     request_parser parser;
     const body_memory memory(conn, parser.get().body());
     auto error = co_await receive(conn, parser);
-    // A body occupies its memory twice while it is sent to an upstream.
-    if (!error && conn.body_bytes > 0 &&
-        !account_body(conn, 2 * conn.body_bytes, true))
+    // The body is copied when it is sent to an upstream.
+    if (!error &&
+        !account(conn, conn.accounted_bytes + parser.get().body().size(), true))
     {
         error = asio::error::no_buffer_space;
     }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -125,8 +125,8 @@
 struct eviction
 {
     eviction_reason reason = eviction_reason::body_memory;
-    /// Memory of the unfinished body.
-    std::size_t body_bytes = 0;
+    /// Memory of the unfinished request.
+    std::size_t request_bytes = 0;
     /// Time since bytes last arrived.
     duration silence{};
 };
--- a/src/serving/configuration.hpp
+++ b/src/serving/configuration.hpp
@@ -81,12 +81,12 @@
     byte_rate link_rate{1.0};
 };
 
-/// How an upstream of a service takes requests after its start.
+/// How an upstream of a service accepts requests after its start.
 struct cold_start
 {
     /// Time from the start of a process during which it is cold.
     duration time{};
-    /// Requests that a cold process takes, from all gateways together.
+    /// Requests that a cold process accepts, from all gateways together.
     rate_limit::request_rate rate;
 };
 
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -140,10 +140,11 @@
 }
 
 duration load_balancer::cost(
-    const upstream_state& state, const upstream_query& query, duration wait,
-    double slowness, mono_time now) const
+    const upstream_state& state, const upstream_query& query, double slowness,
+    mono_time now) const
 {
-    duration sum = wait + scale(options_.usual_service_time, slowness - 1);
+    duration sum = scale(expected_wait(state, now), slowness) +
+                   excess_time(state, slowness, now);
     sum += scale(options_.failure_cost, decayed_failure_share(state, now));
     if (state.entry.data_centre == query.local_data_centre)
     {
@@ -208,7 +209,7 @@
             continue;
         }
         const double slowness = speeds.slowness(time_ratio(state, now));
-        const duration wait = scale(expected_wait(state, now), slowness);
+        const duration wait = expected_wait(state, now);
         if (query.max_wait && wait > *query.max_wait)
         {
             const duration excess = wait - *query.max_wait;
@@ -227,8 +228,8 @@
             query.affinity_key, routing::stable_hash(id.value()));
         found.candidates.push_back(
             {.state = &state,
-             .cost = cost(state, query, wait, slowness, now) + noise,
-             .expected_wait = wait,
+             .cost = cost(state, query, slowness, now) + noise,
+             .expected_wait = scale(wait, slowness),
              .slowness = slowness,
              .affinity = affinity});
     }
@@ -283,7 +284,8 @@
     for (const auto& [id, state] : upstreams_)
     {
         if (state.entry.service == service && state.paused_until &&
-            !state.entry.draining)
+            !state.entry.draining &&
+            !evacuated_.contains(state.entry.data_centre))
         {
             shortest = std::min(
                 shortest,
@@ -300,7 +302,13 @@
     {
         return true;
     }
-    return is_draining_or_removed(found->second, now) ||
+    return is_draining_or_removed(found->second, now);
+}
+
+bool load_balancer::is_evacuated(const upstream_id& id) const
+{
+    const auto found = upstreams_.find(id);
+    return found != upstreams_.end() &&
            evacuated_.contains(found->second.entry.data_centre);
 }
 
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -118,9 +118,9 @@
     /// Cost differences below this are ignored if the gateways exchange their
     /// pending prefills: they lie within the work sent since the last exchange.
     duration cost_tolerance = std::chrono::milliseconds(15);
-    /// Time that a request usually takes at an upstream; a slower one takes
-    /// this much more for each multiple of the median.
-    duration usual_service_time = std::chrono::milliseconds(60);
+    /// Upper bound of the usual time to the first byte, a multiple of which a
+    /// slower upstream takes longer.
+    duration max_service_time = std::chrono::milliseconds(60);
     /// Delay caused by each request that generates tokens.
     duration wait_per_run = std::chrono::milliseconds(2);
     /// Maximum age of a load report.
@@ -130,6 +130,8 @@
     duration failure_cost = std::chrono::milliseconds(3000);
     /// Cost of older weights, for the lower value of such an answer.
     duration old_weights_cost = std::chrono::milliseconds(40);
+    /// Upstreams beyond this number are not measured.
+    std::size_t max_measured = 8192;
     /// Number of departed processes that are remembered.
     std::size_t max_departed = 1024;
 };
@@ -259,6 +261,8 @@
     /// so that the later entries at the address name no upstream.
     void record_running(const upstream_process& process);
 
+    /// Returns whether exactly this process is listed.
+    [[nodiscard]] bool lists(const upstream_process& process) const;
     /// Returns whether a later process than this one is listed under its id.
     [[nodiscard]] bool lists_successor(const upstream_process& process) const;
     /// Returns the software versions of a service's upstreams that are listed,
@@ -282,10 +286,13 @@
     /// Returns the time until an upstream of the service may be tried again.
     [[nodiscard]] duration retry_after(
         const service_id& service, mono_time now) const;
-    /// Returns whether the upstream is draining, removed, unknown or in a data
-    /// centre that is evacuated, so that it gets no new requests.
+    /// Returns whether the upstream is draining, removed or unknown, so that it
+    /// gets no new requests.
     [[nodiscard]] bool is_leaving(const upstream_id& id, mono_time now) const;
 
+    /// Returns whether the upstream is in a data centre that is evacuated.
+    [[nodiscard]] bool is_evacuated(const upstream_id& id) const;
+
     void begin_attempt(const upstream_id& id, const prompt_load& load);
     /// Called when the first byte of the answer arrived or the attempt ended
     /// without one.
@@ -351,8 +358,6 @@
         /// Not used before this time; after connection failures, one request
         /// then probes it.
         std::optional<mono_time> paused_until;
-        /// Since the process was listed.
-        upstream_speed::measured_times measured;
         upstream_speed::speed_estimate own_speed;
     };
 
@@ -411,10 +416,12 @@
     /// Returns whether the engine has memory for the tokens.
     [[nodiscard]] bool has_memory(
         const upstream_state& state, token_count tokens, mono_time now) const;
-    /// @param wait expected at this upstream
     [[nodiscard]] duration cost(
-        const upstream_state& state, const upstream_query& query, duration wait,
+        const upstream_state& state, const upstream_query& query,
         double slowness, mono_time now) const;
+    /// Returns the time by which responses of a slower upstream begin later.
+    [[nodiscard]] duration excess_time(
+        const upstream_state& state, double slowness, mono_time now) const;
     /// @param failure 1 for a failure, 0 for a success
     void update_failure_share(
         upstream_state& state, double failure, mono_time now);
@@ -425,6 +432,9 @@
     /// @invariant contains each upstream under the address of its entry
     std::map<http::address, std::set<upstream_id>> upstreams_by_address_;
     std::set<data_centre_id> evacuated_;
+    /// Sums since the start of this process, also of upstreams that are no
+    /// longer listed. At most options_.max_measured entries.
+    std::map<upstream_id, upstream_speed::measured_times> measured_;
     /// Unset before the first configuration.
     std::optional<std::set<service_id>> named_services_;
     /// Start times of processes whose departure was confirmed.
--- a/src/serving/load_balancer_list.cpp
+++ b/src/serving/load_balancer_list.cpp
@@ -216,6 +216,13 @@
         });
 }
 
+bool load_balancer::lists(const upstream_process& process) const
+{
+    const auto found = upstreams_.find(process.id);
+    return found != upstreams_.end() && !found->second.removed_at &&
+           found->second.entry.started_ms == process.started_ms;
+}
+
 bool load_balancer::lists_successor(const upstream_process& process) const
 {
     const auto found = upstreams_.find(process.id);
--- a/src/serving/load_balancer_speed.cpp
+++ b/src/serving/load_balancer_speed.cpp
@@ -1,6 +1,8 @@
 // Learned speeds of upstreams.
 #include "serving/load_balancer.hpp"
 
+#include <algorithm>
+
 namespace wagtailseam::serving
 {
 
@@ -40,21 +42,31 @@
     {
         return;
     }
-    auto& state = found->second;
-    const upstream_speed::measured_times times{
-        .responses = 1, .observed = observed, .expected = expected};
-    state.own_speed.add(times, now);
-    state.measured.responses += times.responses;
-    state.measured.observed += times.observed;
-    state.measured.expected += times.expected;
+    const auto times = upstream_speed::make_measurement(observed, expected);
+    found->second.own_speed.add(times, now);
+    if (measured_.size() < options_.max_measured || measured_.contains(id))
+    {
+        measured_[id] += times;
+    }
+}
+
+duration load_balancer::excess_time(
+    const upstream_state& state, double slowness, mono_time now) const
+{
+    const auto max_us = static_cast<double>(options_.max_service_time.count());
+    const auto mean = state.own_speed.mean_time(now);
+    const double usual_us =
+        mean ? std::min(max_us, static_cast<double>(mean->count()) / slowness)
+             : max_us;
+    return duration(static_cast<duration::rep>(usual_us * (slowness - 1)));
 }
 
 upstream_speed::measured_times load_balancer::measured_times(
     const upstream_id& id) const
 {
-    const auto found = upstreams_.find(id);
-    return found == upstreams_.end() ? upstream_speed::measured_times{}
-                                     : found->second.measured;
+    const auto found = measured_.find(id);
+    return found == measured_.end() ? upstream_speed::measured_times{}
+                                    : found->second;
 }
 
 std::map<upstream_id, double> load_balancer::uneven_upstreams(
--- a/src/serving/upstream.hpp
+++ b/src/serving/upstream.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace wagtailseam::serving
 {
@@ -28,9 +29,10 @@
     /// Start time of its process in ms of its own wall clock; 0 if unknown.
     /// Distinguishes successive processes at the same address.
     std::uint64_t started_ms = 0;
-    /// How long it stayed cold when the entry was read: it then takes requests
-    /// at a limited rate only. Zero if it is not cold.
-    duration cold_left{};
+    /// How long it stayed cold when the entry was read: until then it accepts
+    /// requests at a limited rate only. Zero if it is warm, unset if the entry
+    /// does not say.
+    std::optional<duration> cold_left;
     /// Running weight version by model; empty for services without models.
     std::map<model_id, weight_version> weights;
 
--- a/src/upstream_speed/speed_estimate.cpp
+++ b/src/upstream_speed/speed_estimate.cpp
@@ -8,6 +8,24 @@
 namespace wagtailseam::upstream_speed
 {
 
+measured_times& measured_times::operator+=(const measured_times& other) noexcept
+{
+    responses += other.responses;
+    observed += other.observed;
+    expected += other.expected;
+    return *this;
+}
+
+measured_times make_measurement(duration observed, duration expected) noexcept
+{
+    constexpr int max_ratio = 8;
+    return {
+        .responses = 1,
+        .observed = std::clamp<duration>(
+            observed, duration::zero(), max_ratio * expected),
+        .expected = expected};
+}
+
 double speed_estimate::remaining_weight(mono_time now) const
 {
     const double half_lives = static_cast<double>((now - updated_).count()) /
@@ -22,23 +40,30 @@
         return;
     }
     const double weight = remaining_weight(now);
+    const auto observed_us = static_cast<double>(times.observed.count());
     const auto expected_us = static_cast<double>(times.expected.count());
-    const double observed_us = std::clamp(
-        static_cast<double>(times.observed.count()), 0.0,
-        options_.max_ratio * expected_us);
     responses_ = responses_ * weight + static_cast<double>(times.responses);
     observed_us_ = observed_us_ * weight + observed_us;
     expected_us_ = expected_us_ * weight + expected_us;
     updated_ = now;
 }
 
+bool speed_estimate::is_known(mono_time now) const
+{
+    return responses_ * remaining_weight(now) >= options_.min_responses;
+}
+
 std::optional<double> speed_estimate::ratio(mono_time now) const
 {
-    if (responses_ * remaining_weight(now) < options_.min_responses)
-    {
-        return std::nullopt;
-    }
-    return observed_us_ / expected_us_;
+    return is_known(now) ? std::optional(observed_us_ / expected_us_)
+                         : std::nullopt;
+}
+
+std::optional<duration> speed_estimate::mean_time(mono_time now) const
+{
+    return is_known(now) ? std::optional(duration(static_cast<duration::rep>(
+                               observed_us_ / responses_)))
+                         : std::nullopt;
 }
 
 speed_collector::speed_collector(const speed_collector_options& options)
@@ -50,23 +75,22 @@
     const vm_id& gateway, std::uint64_t incarnation,
     const measured_times& total, mono_time now)
 {
-    auto found = reported_.find(gateway);
-    if (found == reported_.end())
+    const auto found = reported_.find(gateway);
+    if (found == reported_.end() && reported_.size() >= options_.max_gateways)
+    {
+        return;
+    }
+    if (found == reported_.end() || found->second.incarnation != incarnation)
     {
-        if (reported_.size() >= options_.max_gateways)
-        {
-            return;
-        }
-        // Its earlier measurements may be much older.
-        reported_.emplace(
+        reported_.insert_or_assign(
             gateway, reported{.incarnation = incarnation, .total = total});
         return;
     }
-    auto& known = found->second;
-    const auto previous =
-        known.incarnation == incarnation ? known.total : measured_times{};
+    const auto previous = found->second.total;
     // Datagrams may overtake each other.
-    if (total.responses < previous.responses)
+    if (total.responses <= previous.responses ||
+        total.observed < previous.observed ||
+        total.expected < previous.expected)
     {
         return;
     }
@@ -75,12 +99,7 @@
          .observed = total.observed - previous.observed,
          .expected = total.expected - previous.expected},
         now);
-    known = {.incarnation = incarnation, .total = total};
-}
-
-void speed_collector::reset()
-{
-    estimate_ = speed_estimate(options_.estimate);
+    found->second.total = total;
 }
 
 speed_scale::speed_scale(
--- a/src/upstream_speed/speed_estimate.hpp
+++ b/src/upstream_speed/speed_estimate.hpp
@@ -24,10 +24,17 @@
     /// What was expected of an upstream of usual speed.
     duration expected{};
 
+    measured_times& operator+=(const measured_times& other) noexcept;
     friend bool operator==(const measured_times&, const measured_times&) =
         default;
 };
 
+/// Returns the measurement of one response. It counts as at most eight times
+/// what was expected: a lost packet or a full queue is not a property of the
+/// upstream.
+[[nodiscard]] measured_times make_measurement(
+    duration observed, duration expected) noexcept;
+
 struct speed_estimate_options
 {
     /// Half-life of a measurement. An upstream that is avoided becomes unknown
@@ -36,9 +43,6 @@
     /// Responses without which the speed is unknown, so that one slow response
     /// does not count.
     double min_responses = 6;
-    /// A single response counts as at most this multiple of what was expected:
-    /// a lost packet or a full queue is not a property of the upstream.
-    double max_ratio = 8;
 };
 
 /// Moving ratio of observed to expected times of one upstream. Performs no I/O.
@@ -55,8 +59,11 @@
     /// Returns how many times longer than expected responses take; nullopt if
     /// too few were measured recently.
     [[nodiscard]] std::optional<double> ratio(mono_time now) const;
+    /// Returns the mean time to the first byte; nullopt like ratio().
+    [[nodiscard]] std::optional<duration> mean_time(mono_time now) const;
 
 private:
+    [[nodiscard]] bool is_known(mono_time now) const;
     [[nodiscard]] double remaining_weight(mono_time now) const;
 
     speed_estimate_options options_;
@@ -81,12 +88,12 @@
 public:
     explicit speed_collector(const speed_collector_options& options = {});
 
+    /// The first report of an incarnation is the origin of its later ones,
+    /// since its sums may be old.
     /// @param incarnation identifies the run of the gateway's process
     void report(
         const vm_id& gateway, std::uint64_t incarnation,
         const measured_times& total, mono_time now);
-    /// Forgets the speed of a process that has ended.
-    void reset();
     [[nodiscard]] std::optional<double> ratio(mono_time now) const
     {
         return estimate_.ratio(now);
--- a/src/upstream_statement/statement_record.hpp
+++ b/src/upstream_statement/statement_record.hpp
@@ -114,7 +114,7 @@
     }
 
     /// Limits the rate of requests to a process until it is warm. A rate that
-    /// a response states holds beside this one.
+    /// a response states applies in addition.
     /// @return whether it was not known to be cold
     bool record_cold(
         const upstream_process& process, rate_limit::request_rate rate,
