Confirm a version regime that was read again unchanged

Cause: a gap in the list of upstreams takes the confirmation of the regime away. The row is then read again, but set_regime() returned before it told the tracker if the regime had not changed, so the regime stayed unconfirmed.

Change: a regime that was read is set in any case; only the log line and the rewrite of the record depend on a change.

Test: regime_confirmation_test failed before (six reads in place of one).

--- a/src/gateway/stream_origin_sync.cpp
+++ b/src/gateway/stream_origin_sync.cpp
@@ -283,17 +283,22 @@
     std::string_view cause)
 {
     const auto tracker = state_.streams.regimes.find(service);
-    if (tracker == state_.streams.regimes.end() ||
-        tracker->second.regime() == regime)
+    if (tracker == state_.streams.regimes.end())
+    {
+        return;
+    }
+    const auto previous = tracker->second.regime();
+    // Also confirms a regime that has not changed.
+    tracker->second.set_regime(regime);
+    if (previous == regime)
     {
         return;
     }
     telemetry::event("version_regime")
         .with("service", service)
-        .with("from", stream_origin::name(tracker->second.regime()))
+        .with("from", stream_origin::name(previous))
         .with("to", stream_origin::name(regime))
         .with("cause", cause);
-    tracker->second.set_regime(regime);
     // Streams without a record began under a single version.
     rewrite_record();
 }
