Divide limits at once after the restart of a gateway

Cause: a gateway sends nothing to a limited upstream until it knows its position among the gateways, which took 1.5 s in any case: the time in which gateways that start together for the first time write their rows. Ruled out: the list of gateways (read within 0.2 s), the sign of presence (confirmed within 0.2 s).

Change: a gateway that finds the sign of an earlier process on its VM divides limits once it has read all rows. Gateways that ran before have rows; one that starts now finds the row of this one and greets it before it takes a share.

Test: peer_directory_test, the case of a restart failed before; a first start waits as it did.

--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -79,6 +79,8 @@
         timer.expires_after(is_read ? own_row_delay : confirmation_retry_delay);
         co_await timer.async_wait(completion);
     }
+    rows_read_ = true;
+    update_position();
     co_await greet_peers();
     timer.expires_after(registration_time);
     co_await timer.async_wait(completion);
@@ -149,7 +151,7 @@
 
 void peer_directory::update_position()
 {
-    if (!rows_confirmed_)
+    if (!can_divide_limits())
     {
         return;
     }
--- a/src/gateway/peer_directory.hpp
+++ b/src/gateway/peer_directory.hpp
@@ -84,6 +84,14 @@
     /// Ends the introduction once the others had the time to reply.
     asio::awaitable<void> greet_peers();
     [[nodiscard]] bool is_own_row_listed() const;
+    /// Returns whether limits can be divided by the rows that were read. After
+    /// a restart that is so at once: gateways that ran before have rows, and
+    /// those that start now greet this one before they take a share, because
+    /// they find its row.
+    [[nodiscard]] bool can_divide_limits() const noexcept
+    {
+        return rows_confirmed_ || (rows_read_ && presence_.has_predecessor());
+    }
     [[nodiscard]] std::set<vm_id> other_gateways() const;
     void log_absences(const std::set<vm_id>& others, mono_time now);
 
@@ -96,6 +104,8 @@
     presence::gateway_presence presence_;
     /// Gateways that were counted out when the position was last updated.
     std::set<vm_id> absent_;
+    /// Whether all rows, including that of this gateway, were read once.
+    bool rows_read_ = false;
     /// Whether confirm_rows() has finished.
     bool rows_confirmed_ = false;
 };
--- a/src/presence/gateway_presence.cpp
+++ b/src/presence/gateway_presence.cpp
@@ -27,6 +27,7 @@
     {
         return;
     }
+    has_predecessor_ = true;
     duration age = options_.lease_time;
     if (row->sign && !row->sign->rejoining)
     {
--- a/src/presence/gateway_presence.hpp
+++ b/src/presence/gateway_presence.hpp
@@ -102,6 +102,11 @@
         const std::set<vm_id>& others, mono_time now) const;
 
     [[nodiscard]] bool has_read() const noexcept { return has_read_; }
+    /// Returns whether another process on this VM has written a sign before.
+    [[nodiscard]] bool has_predecessor() const noexcept
+    {
+        return has_predecessor_;
+    }
 
 private:
     struct observed_sign
@@ -124,6 +129,7 @@
     /// Signs of other gateways.
     std::map<vm_id, observed_sign> signs_;
     bool has_read_ = false;
+    bool has_predecessor_ = false;
     /// When the last successful read began; nullopt if the observation has to
     /// begin again.
     std::optional<mono_time> read_began_;
