Poll the list of processes once a second during an outage of the store

Each process polled three tables four times a second while the store was absent. The operator's table and the list of upstreams are polled as before.

--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -92,6 +92,8 @@
            .on_rows = [this](const auto& rows, auto scope)
            { listeners_.apply(rows, scope); },
            .poll_timeout = listener_poll_timeout,
+           .outage_poll_timeout = engine_status::listener_outage_interval,
+           .retry_delay = engine_status::listener_outage_interval,
            .batch_delay = listener_batch_delay}),
       http_(
           context.get_executor(),
--- a/src/engine_status/listener.hpp
+++ b/src/engine_status/listener.hpp
@@ -2,6 +2,7 @@
 #ifndef WAGTAILSEAM_ENGINE_STATUS_LISTENER_HPP
 #define WAGTAILSEAM_ENGINE_STATUS_LISTENER_HPP
 
+#include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "core/result.hpp"
 #include "http/message.hpp"
@@ -21,6 +22,9 @@
 /// Table of the platform's row store that holds the addresses at which
 /// processes receive datagrams. The key is the VM of the process.
 inline constexpr const char* listener_table = "status_listeners";
+/// Interval of the polls of the table during an outage of the store. Processes
+/// that are known stay known, and the platform charges for each poll.
+inline constexpr duration listener_outage_interval = std::chrono::seconds(1);
 
 /// Selects which datagrams a listener receives.
 enum class listener_role : std::uint8_t
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -46,6 +46,8 @@
            .on_rows = [this](const auto& rows, auto scope)
            { apply(rows, scope); },
            .poll_timeout = listener_poll_timeout,
+           .outage_poll_timeout = engine_status::listener_outage_interval,
+           .retry_delay = engine_status::listener_outage_interval,
            .batch_delay = listener_batch_delay}),
       presence_(state.settings.vm, incarnation{runtime::random_incarnation()})
 {
