Try upstreams again soon that were measured as slow

Cause: the engine answered the requests of the first second slowly, when all callers connected. It was avoided from then on, so it was not measured, and its forty slow responses outweighed the few after them: with a half-life of 4 s they count for ten seconds.

Change: the difference from the median counts in full for 1 s after the last response, then halves every 500 ms, so that single requests try the upstream again; earlier responses weigh as much as 16 at most. The agent's status carries the age of the last measurement. An engine that restarts loses the measurements of its predecessor, at gateways and at its agent.

--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -364,6 +364,7 @@
             .with("started_ms", report.value().started_ms);
         own_id_ = upstream_id{};
         order_pending_ = false;
+        speed_ = upstream_speed::speed_collector{};
         next_list_refresh_ = monotonic_clock::now();
     }
     engine_ = engine_state{
@@ -438,7 +439,7 @@
 void app::send_status_to_gateways()
 {
     const auto now = monotonic_clock::now();
-    status_.time_ratio = speed_.ratio(now);
+    status_.speed = speed_.speed(now);
     if (!prefill_reports_.has_live_reports(now))
     {
         send(
--- a/src/engine_status/status.cpp
+++ b/src/engine_status/status.cpp
@@ -4,8 +4,17 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace wagtailseam::engine_status
 {
+namespace
+{
+
+/// Older measurements count for nothing.
+constexpr std::chrono::hours max_speed_age{1};
+
+} // namespace
 
 std::string encode(const status& value)
 {
@@ -30,9 +39,10 @@
         document["t"] = value.prefill_of_other_gateways->prefill_time.count();
         document["s"] = value.prefill_of_other_gateways->tokens.value();
     }
-    if (value.time_ratio)
+    if (value.speed)
     {
-        document["v"] = *value.time_ratio;
+        document["v"] = value.speed->ratio;
+        document["a"] = value.speed->age.count();
     }
     std::string datagram;
     nlohmann::json::to_msgpack(document, datagram);
@@ -75,7 +85,11 @@
         }
         if (document.contains("v"))
         {
-            value.time_ratio = document.at("v").get<double>();
+            value.speed = upstream_speed::measured_speed{
+                .ratio = document.at("v").get<double>(),
+                .age = std::clamp<duration>(
+                    duration(document.value("a", duration::rep{0})),
+                    duration::zero(), max_speed_age)};
         }
         return value;
     }
--- a/src/engine_status/status.hpp
+++ b/src/engine_status/status.hpp
@@ -6,6 +6,7 @@
 
 #include "core/result.hpp"
 #include "serving/upstream.hpp"
+#include "upstream_speed/speed_estimate.hpp"
 
 #include <cstdint>
 #include <map>
@@ -38,9 +39,8 @@
     /// receiver, which knows its own more recently. Not set if the agent has no
     /// valid report from any gateway.
     std::optional<serving::pending_prefill> prefill_of_other_gateways;
-    /// How many times longer than expected its responses take, according to
-    /// all gateways. Not set if too few were measured.
-    std::optional<double> time_ratio;
+    /// According to all gateways. Not set if too few responses were measured.
+    std::optional<upstream_speed::measured_speed> speed;
 
     friend bool operator==(const status&, const status&) = default;
 };
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -241,7 +241,7 @@
          .loading_weights = status.loading,
          .weights = status.weights,
          .prefill_of_other_gateways = status.prefill_of_other_gateways,
-         .time_ratio = status.time_ratio},
+         .speed = status.speed},
         monotonic_clock::now());
 }
 
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -208,7 +208,7 @@
                 next_report, found.min_excess_wait.value_or(next_report));
             continue;
         }
-        const double slowness = speeds.slowness(time_ratio(state, now));
+        const double slowness = speeds.slowness(known_speed(state, now));
         const duration wait = expected_wait(state, now);
         if (query.max_wait && wait > *query.max_wait)
         {
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -88,9 +88,9 @@
     /// Work that other gateways reported for the engine, some 10 ms old. If
     /// unset, the much older report of the engine itself is used.
     std::optional<pending_prefill> prefill_of_other_gateways;
-    /// How many times longer than expected its responses take, as all gateways
-    /// measure it; nullopt if unknown.
-    std::optional<double> time_ratio;
+    /// As all gateways measured it when the report was made; nullopt if
+    /// unknown.
+    std::optional<upstream_speed::measured_speed> speed;
 };
 
 struct load_balancer_options
@@ -408,7 +408,7 @@
     [[nodiscard]] duration expected_wait(
         const upstream_state& state, mono_time now) const;
     /// Returns the speed of an upstream; nullopt if unknown.
-    [[nodiscard]] std::optional<double> time_ratio(
+    [[nodiscard]] std::optional<upstream_speed::measured_speed> known_speed(
         const upstream_state& state, mono_time now) const;
     /// Complexity: linear in the number of upstreams.
     [[nodiscard]] upstream_speed::speed_scale make_speed_scale(
--- a/src/serving/load_balancer_list.cpp
+++ b/src/serving/load_balancer_list.cpp
@@ -60,6 +60,7 @@
     {
         state.is_disproved = false;
         state.own_speed = upstream_speed::speed_estimate{};
+        state.load.speed.reset();
     }
     if (state.entry.address != listed.address)
     {
--- a/src/serving/load_balancer_speed.cpp
+++ b/src/serving/load_balancer_speed.cpp
@@ -6,15 +6,20 @@
 namespace wagtailseam::serving
 {
 
-std::optional<double> load_balancer::time_ratio(
+std::optional<upstream_speed::measured_speed> load_balancer::known_speed(
     const upstream_state& state, mono_time now) const
 {
     // An agent knows the measurements of all gateways.
-    if (state.load_updated)
+    if (!state.load_updated)
     {
-        return is_load_known(state, now) ? state.load.time_ratio : std::nullopt;
+        return state.own_speed.speed(now);
     }
-    return state.own_speed.ratio(now);
+    auto speed = is_load_known(state, now) ? state.load.speed : std::nullopt;
+    if (speed)
+    {
+        speed->age += now - *state.load_updated;
+    }
+    return speed;
 }
 
 upstream_speed::speed_scale load_balancer::make_speed_scale(
@@ -23,12 +28,12 @@
     std::vector<double> ratios;
     for (const auto& [id, state] : upstreams_)
     {
-        const auto ratio = state.entry.service == service
-                               ? time_ratio(state, now)
+        const auto speed = state.entry.service == service
+                               ? known_speed(state, now)
                                : std::nullopt;
-        if (ratio && !is_draining_or_removed(state, now))
+        if (speed && !is_draining_or_removed(state, now))
         {
-            ratios.push_back(*ratio);
+            ratios.push_back(speed->ratio);
         }
     }
     return upstream_speed::speed_scale(std::move(ratios));
@@ -76,8 +81,8 @@
     std::map<upstream_id, double> uneven;
     for (const auto& [id, state] : upstreams_)
     {
-        const auto ratio = time_ratio(state, now);
-        if (!ratio)
+        const auto speed = known_speed(state, now);
+        if (!speed)
         {
             continue;
         }
@@ -88,7 +93,10 @@
             scale =
                 scales.emplace(service, make_speed_scale(service, now)).first;
         }
-        const double slowness = scale->second.slowness(ratio);
+        // Ignores the age. Otherwise the log would alternate between slow and
+        // recovered for an upstream that is avoided.
+        const double slowness = scale->second.slowness(
+            upstream_speed::measured_speed{.ratio = speed->ratio});
         if (slowness != 1)
         {
             uneven.emplace(id, slowness);
--- a/src/serving/test/uneven_upstreams_test.cpp
+++ b/src/serving/test/uneven_upstreams_test.cpp
@@ -110,6 +110,72 @@
     EXPECT_GT(sent["3"], 120);
 }
 
+/// An upstream that was slow for a moment got no requests for ten seconds,
+/// since its many measurements faded slowly.
+TEST_F(
+    uneven_upstreams_fixture,
+    upstream_that_was_slow_is_tried_again_within_three_seconds)
+{
+    list("1");
+    list("2");
+    for (int i = 0; i < 40; ++i)
+    {
+        const milliseconds expected(30);
+        balancer_.record_first_byte(upstream_id{"1"}, expected, expected, now_);
+        balancer_.record_first_byte(
+            upstream_id{"2"}, 8 * expected, expected, now_);
+    }
+    EXPECT_EQ(send(20)["2"], 0);
+    EXPECT_GT(send(130)["2"], 0);
+}
+
+/// The same if an agent reports the measurements of all gateways.
+TEST_F(
+    uneven_upstreams_fixture, engine_that_was_slow_is_tried_again_by_a_request)
+{
+    list("1");
+    list("2");
+    const auto report = [&](const std::string& id, double ratio, duration age)
+    {
+        balancer_.update_load(
+            upstream_id{id},
+            {.prefill_of_other_gateways = pending_prefill{},
+             .speed =
+                 upstream_speed::measured_speed{.ratio = ratio, .age = age}},
+            now_);
+    };
+    report("1", 1, milliseconds(0));
+    report("2", 4, milliseconds(0));
+    EXPECT_EQ(send(20)["2"], 0);
+    now_ += seconds(3);
+    report("1", 1, milliseconds(0));
+    report("2", 4, seconds(4));
+    EXPECT_GT(send(20)["2"], 0);
+}
+
+/// The measurements of a process must not count for the next one.
+TEST_F(uneven_upstreams_fixture, restarted_upstream_has_no_speed)
+{
+    list("1");
+    list("2");
+    const auto report = [&](const std::string& id, double ratio)
+    {
+        balancer_.update_load(
+            upstream_id{id},
+            {.speed = upstream_speed::measured_speed{.ratio = ratio}}, now_);
+    };
+    report("1", 1);
+    report("2", 4);
+    EXPECT_EQ(balancer_.uneven_upstreams(now_).size(), 1U);
+    balancer_.upsert(
+        {.id = upstream_id{"2"},
+         .service = ledger,
+         .address = http::address{"10.0.0.2:80"},
+         .data_centre = near,
+         .started_ms = 2});
+    EXPECT_TRUE(balancer_.uneven_upstreams(now_).empty());
+}
+
 TEST_F(uneven_upstreams_fixture, slow_upstreams_alone_still_serve)
 {
     list("3");
--- a/src/upstream_speed/speed_estimate.cpp
+++ b/src/upstream_speed/speed_estimate.cpp
@@ -39,10 +39,13 @@
     {
         return;
     }
-    const double weight = remaining_weight(now);
+    const auto added = static_cast<double>(times.responses);
+    const double kept =
+        std::min(responses_ * remaining_weight(now), options_.max_responses);
+    const double weight = responses_ > 0 ? kept / responses_ : 0;
     const auto observed_us = static_cast<double>(times.observed.count());
     const auto expected_us = static_cast<double>(times.expected.count());
-    responses_ = responses_ * weight + static_cast<double>(times.responses);
+    responses_ = kept + added;
     observed_us_ = observed_us_ * weight + observed_us;
     expected_us_ = expected_us_ * weight + expected_us;
     updated_ = now;
@@ -53,10 +56,14 @@
     return responses_ * remaining_weight(now) >= options_.min_responses;
 }
 
-std::optional<double> speed_estimate::ratio(mono_time now) const
+std::optional<measured_speed> speed_estimate::speed(mono_time now) const
 {
-    return is_known(now) ? std::optional(observed_us_ / expected_us_)
-                         : std::nullopt;
+    if (!is_known(now))
+    {
+        return std::nullopt;
+    }
+    return measured_speed{
+        .ratio = observed_us_ / expected_us_, .age = now - updated_};
 }
 
 std::optional<duration> speed_estimate::mean_time(mono_time now) const
@@ -119,14 +126,19 @@
     median_ = *middle;
 }
 
-double speed_scale::slowness(const std::optional<double>& ratio) const
+double speed_scale::slowness(const std::optional<measured_speed>& speed) const
 {
-    if (!differs_ || !ratio || !median_ || *median_ <= 0)
+    if (!differs_ || !speed || !median_ || *median_ <= 0)
     {
         return 1;
     }
-    return std::clamp(
-        *ratio / *median_, options_.min_slowness, options_.max_slowness);
+    const double measured = std::clamp(
+        speed->ratio / *median_, options_.min_slowness, options_.max_slowness);
+    const double fading_half_lives =
+        std::chrono::duration<double>(
+            std::max(duration::zero(), speed->age - options_.full_age)) /
+        std::chrono::duration<double>(options_.fading_half_life);
+    return 1 + (measured - 1) * std::exp2(-fading_half_lives);
 }
 
 } // namespace wagtailseam::upstream_speed
--- a/src/upstream_speed/speed_estimate.hpp
+++ b/src/upstream_speed/speed_estimate.hpp
@@ -35,14 +35,28 @@
 [[nodiscard]] measured_times make_measurement(
     duration observed, duration expected) noexcept;
 
+/// How fast an upstream answers, as far as its last responses show.
+struct measured_speed
+{
+    /// How many times longer than expected its responses take.
+    double ratio = 1;
+    /// Time since the last response that was measured.
+    duration age{};
+
+    friend bool operator==(const measured_speed&, const measured_speed&) =
+        default;
+};
+
 struct speed_estimate_options
 {
-    /// Half-life of a measurement. An upstream that is avoided becomes unknown
-    /// in a few half-lives, and so is tried again.
+    /// Half-life of a measurement.
     duration half_life = std::chrono::seconds(4);
     /// Responses without which the speed is unknown, so that one slow response
     /// does not count.
     double min_responses = 6;
+    /// Earlier responses weigh as much as this number at most, since the
+    /// thousands before a change would otherwise hide the few after it.
+    double max_responses = 16;
 };
 
 /// Moving ratio of observed to expected times of one upstream. Performs no I/O.
@@ -56,10 +70,9 @@
     }
 
     void add(const measured_times& times, mono_time now);
-    /// Returns how many times longer than expected responses take; nullopt if
-    /// too few were measured recently.
-    [[nodiscard]] std::optional<double> ratio(mono_time now) const;
-    /// Returns the mean time to the first byte; nullopt like ratio().
+    /// Returns nullopt if too few responses were measured recently.
+    [[nodiscard]] std::optional<measured_speed> speed(mono_time now) const;
+    /// Returns the mean time to the first byte; nullopt like speed().
     [[nodiscard]] std::optional<duration> mean_time(mono_time now) const;
 
 private:
@@ -94,9 +107,9 @@
     void report(
         const vm_id& gateway, std::uint64_t incarnation,
         const measured_times& total, mono_time now);
-    [[nodiscard]] std::optional<double> ratio(mono_time now) const
+    [[nodiscard]] std::optional<measured_speed> speed(mono_time now) const
     {
-        return estimate_.ratio(now);
+        return estimate_.speed(now);
     }
 
 private:
@@ -118,6 +131,12 @@
     double notable_difference = 1.25;
     double min_slowness = 0.5;
     double max_slowness = 4;
+    /// A measurement counts in full up to this age. Upstreams that are used get
+    /// several requests a second.
+    duration full_age = std::chrono::seconds(1);
+    /// After that, the difference from the median halves in this time, so that
+    /// an upstream that is avoided is tried again by single requests.
+    duration fading_half_life = std::chrono::milliseconds(500);
 };
 
 /// Scale on which the ratios of one service's upstreams are compared.
@@ -130,7 +149,8 @@
 
     /// Returns how many times slower than the median an upstream is; 1 if its
     /// speed is unknown or the upstreams count as equal.
-    [[nodiscard]] double slowness(const std::optional<double>& ratio) const;
+    [[nodiscard]] double slowness(
+        const std::optional<measured_speed>& speed) const;
     /// Returns the median ratio; nullopt if no speed is known.
     [[nodiscard]] std::optional<double> median() const noexcept
     {
--- a/src/upstream_speed/test/speed_estimate_test.cpp
+++ b/src/upstream_speed/test/speed_estimate_test.cpp
@@ -25,7 +25,7 @@
     }
     [[nodiscard]] double ratio() const
     {
-        return estimate_.ratio(now_).value_or(0);
+        return estimate_.speed(now_).value_or(measured_speed{.ratio = 0}).ratio;
     }
 
     speed_estimate estimate_;
@@ -35,7 +35,7 @@
 TEST_F(speed_estimate_fixture, few_responses_show_no_speed)
 {
     respond(3, milliseconds(400));
-    EXPECT_FALSE(estimate_.ratio(now_));
+    EXPECT_FALSE(estimate_.speed(now_));
 }
 
 TEST_F(speed_estimate_fixture, slow_responses_raise_the_ratio)
@@ -59,12 +59,20 @@
     EXPECT_LT(ratio(), 1.3);
 }
 
+/// An upstream that recovers is tried by few requests only.
+TEST_F(speed_estimate_fixture, few_responses_show_a_change)
+{
+    respond(1000, milliseconds(300));
+    respond(12, milliseconds(100));
+    EXPECT_LT(ratio(), 2);
+}
+
 /// An upstream that is avoided would otherwise never show that it recovered.
 TEST_F(speed_estimate_fixture, old_measurements_are_forgotten)
 {
     respond(50, milliseconds(400));
     now_ += seconds(60);
-    EXPECT_FALSE(estimate_.ratio(now_));
+    EXPECT_FALSE(estimate_.speed(now_));
 }
 
 class speed_collector_fixture : public testing::Test
@@ -95,8 +103,8 @@
         report("g" + std::to_string(i), 1);
         report("g" + std::to_string(i), 2);
     }
-    ASSERT_TRUE(collector_.ratio(now_));
-    EXPECT_NEAR(*collector_.ratio(now_), 2, 0.01);
+    ASSERT_TRUE(collector_.speed(now_));
+    EXPECT_NEAR(collector_.speed(now_)->ratio, 2, 0.01);
 }
 
 TEST_F(speed_collector_fixture, repeated_report_counts_once)
@@ -106,7 +114,7 @@
     {
         report("g", 4);
     }
-    EXPECT_FALSE(collector_.ratio(now_));
+    EXPECT_FALSE(collector_.speed(now_));
 }
 
 /// A late datagram of an earlier run must not count its whole sums.
@@ -114,35 +122,47 @@
 {
     report("g", 1000);
     report("g", 1, 2);
-    EXPECT_FALSE(collector_.ratio(now_));
+    EXPECT_FALSE(collector_.speed(now_));
     report("g", 20, 2);
-    EXPECT_TRUE(collector_.ratio(now_));
+    EXPECT_TRUE(collector_.speed(now_));
 }
 
 /// The sums of a long-lived gateway may be hours old when an agent starts.
 TEST_F(speed_collector_fixture, first_report_of_a_gateway_is_the_origin)
 {
     report("g", 1000);
-    EXPECT_FALSE(collector_.ratio(now_));
+    EXPECT_FALSE(collector_.speed(now_));
 }
 
 TEST(speed_scale, equal_upstreams_are_not_told_apart)
 {
     const speed_scale scale({1.0, 1.1, 1.2});
-    EXPECT_DOUBLE_EQ(scale.slowness(1.2), 1);
+    EXPECT_DOUBLE_EQ(scale.slowness(measured_speed{.ratio = 1.2}), 1);
 }
 
 TEST(speed_scale, slower_upstream_is_compared_with_the_median)
 {
     const speed_scale scale({1.0, 1.0, 1.0, 3.0});
-    EXPECT_DOUBLE_EQ(scale.slowness(3.0), 3);
-    EXPECT_DOUBLE_EQ(scale.slowness(1.0), 1);
+    EXPECT_DOUBLE_EQ(scale.slowness(measured_speed{.ratio = 3}), 3);
+    EXPECT_DOUBLE_EQ(scale.slowness(measured_speed{.ratio = 1}), 1);
     EXPECT_DOUBLE_EQ(scale.slowness(std::nullopt), 1);
 }
 
+/// An upstream that is avoided is measured no more, so that its last
+/// measurements must not hold it off for long.
+TEST(speed_scale, difference_fades_after_the_last_measurement)
+{
+    const speed_scale scale({1.0, 1.0, 3.0});
+    const auto slowness_at = [&](milliseconds age)
+    { return scale.slowness(measured_speed{.ratio = 3, .age = age}); };
+    EXPECT_DOUBLE_EQ(slowness_at(milliseconds(900)), 3);
+    EXPECT_DOUBLE_EQ(slowness_at(milliseconds(1500)), 2);
+    EXPECT_LT(slowness_at(seconds(4)), 1.05);
+}
+
 TEST(speed_scale, no_known_speed_is_neutral)
 {
-    EXPECT_DOUBLE_EQ(speed_scale({}).slowness(2.0), 1);
+    EXPECT_DOUBLE_EQ(speed_scale({}).slowness(measured_speed{.ratio = 2}), 1);
 }
 
 /// An upstream must not lose all its requests for any measurement.
@@ -154,8 +174,12 @@
     const speed_scale scale(ratios);
     for (const double ratio : ratios)
     {
-        RC_ASSERT(scale.slowness(ratio) >= 0.5);
-        RC_ASSERT(scale.slowness(ratio) <= 4.0);
+        const measured_speed speed{
+            .ratio = ratio,
+            .age =
+                duration(*rc::gen::inRange<duration::rep>(0, 1'000'000'000))};
+        RC_ASSERT(scale.slowness(speed) >= 0.5);
+        RC_ASSERT(scale.slowness(speed) <= 4.0);
     }
 }
 
