Keep requests in the regions that their route and workspace allow

allowedRegions of routes and workspaces were not read. Upstreams of other regions are excluded from every choice now (first attempts, retries, resumed streams, successors), prompt parts are saved to and fetched from stores of the region only, and under a cache scope of their own, so that no other request moves them elsewhere. Without an upstream in the region a request is refused at once (no_upstream_in_region, 316). Without a restriction all requests are served as before.

The load balancer names why an upstream is excluded, and assesses all upstreams of a service for reports.

--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -11,6 +11,7 @@
 
 using vm_id = strong_id<struct vm_tag>;
 using data_centre_id = strong_id<struct data_centre_tag>;
+using region_id = strong_id<struct region_tag>;
 using workspace_id = strong_id<struct workspace_tag>;
 using upstream_id = strong_id<struct upstream_tag>;
 using model_id = strong_id<struct model_tag>;
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -113,6 +113,10 @@
         result_code::software_version_gone, "software_version_gone",
         "No upstream of the software version that began the stream is "
         "available; send the request anew."},
+    result_code_row{
+        result_code::no_upstream_in_region, "no_upstream_in_region",
+        "No upstream in the regions that the route and the workspace allow is "
+        "available; come back later."},
     result_code_row{
         result_code::upstream_unreachable, "upstream_unreachable",
         "No connection to the upstream was made, so nothing was sent."},
--- a/src/core/result_code.hpp
+++ b/src/core/result_code.hpp
@@ -53,6 +53,7 @@
     upstreams_leaving = 313,
     stream_origin_unknown = 314,
     software_version_gone = 315,
+    no_upstream_in_region = 316,
 
     upstream_unreachable = 401,
     upstream_draining = 402,
--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -1,6 +1,7 @@
 // Builds upstream queries, weight selections and cache plans for attempts.
 #include "gateway/dispatch_plan.hpp"
 
+#include "core/overloaded.hpp"
 #include "platform/request_codec.hpp"
 #include "routing/rendezvous.hpp"
 #include "serving/cache_timing.hpp"
@@ -77,6 +78,21 @@
     return routing::stable_hash(longest->id.value());
 }
 
+result_code restriction_code(upstream_statement::restriction reason)
+{
+    using upstream_statement::restriction;
+    switch (reason)
+    {
+    case restriction::limited:
+        return result_code::upstreams_limited;
+    case restriction::paused:
+        return result_code::upstreams_paused;
+    case restriction::leaving:
+        break;
+    }
+    return result_code::upstreams_leaving;
+}
+
 /// Returns how long the request may wait for an engine to start on it.
 duration max_wait(const accepted_request& request)
 {
@@ -126,8 +142,11 @@
             .prefill_tokens = total_tokens(prompt)};
     }
     // A workspace may have become isolated since the request was accepted.
-    const auto scope = state.routes->scope_of(
-        request.workspace != nullptr ? request.workspace->id : workspace_id{});
+    const auto scope = serving::restrict_scope(
+        state.routes->scope_of(
+            request.workspace != nullptr ? request.workspace->id
+                                         : workspace_id{}),
+        request.data_centres);
     auto salt = serving::make_cache_salt(prompt.model, *weights, scope);
     if (!can_fetch_cached_parts(state, prompt.model, *weights, now))
     {
@@ -136,7 +155,7 @@
     }
     return state.caches.plan(
         prompt, salt, target.entry.data_centre, request.route->latency_target,
-        target.expected_wait, now);
+        target.expected_wait, now, request.data_centres);
 }
 
 } // namespace
@@ -161,6 +180,31 @@
     return *content_;
 }
 
+result<void> find_route(const shared_state& state, accepted_request& request)
+{
+    request.route = request.routes->find_route(
+        request.call.host, request.call.message.path());
+    if (request.route == nullptr)
+    {
+        return fail(result_code::unknown_route);
+    }
+    if (!request.route->is_public)
+    {
+        if (request.call.key.empty())
+        {
+            return fail(result_code::missing_credentials);
+        }
+        request.workspace = request.routes->find_workspace(request.call.key);
+        if (request.workspace == nullptr)
+        {
+            return fail(result_code::unknown_caller_key);
+        }
+    }
+    request.data_centres = serving::find_allowed_data_centres(
+        *request.route, request.workspace, state.settings.regions);
+    return boost::outcome_v2::success();
+}
+
 serving::upstream_query make_upstream_query(
     const shared_state& state, const accepted_request& request,
     const std::set<upstream_id>& tried, bool limit_queue_length)
@@ -169,7 +213,13 @@
         .service = request.service,
         .local_data_centre = state.settings.data_centre,
         .affinity_key = make_affinity_key(request.call),
-        .excluded = tried};
+        .data_centres = request.data_centres,
+        .excluded = tried,
+        .restricted = state.statements.restricted()};
+    if (request.route->is_resumable_stream())
+    {
+        query.processes = &state.processes;
+    }
     if (!request.call.prompt)
     {
         return query;
@@ -194,6 +244,28 @@
     return query;
 }
 
+result_code refusal_code(
+    const shared_state& state, const accepted_request& request,
+    const serving::choice& selection)
+{
+    return std::visit(
+        overloaded{
+            [](const serving::chosen_upstream&) { return result_code::ok; },
+            [](const serving::all_overloaded&)
+            { return result_code::queue_full; },
+            [&](const serving::all_restricted& restricted)
+            {
+                return restriction_code(
+                    state.statements.first_end(restricted.upstreams).reason);
+            },
+            [&](const serving::none_available&)
+            {
+                return request.data_centres ? result_code::no_upstream_in_region
+                                            : result_code::no_upstream;
+            }},
+        selection);
+}
+
 planned_dispatch plan_dispatch(
     shared_state& state, const accepted_request& request,
     const serving::chosen_upstream& target, const std::string& resume_after)
--- a/src/gateway/dispatch_plan.hpp
+++ b/src/gateway/dispatch_plan.hpp
@@ -29,6 +29,7 @@
     /// Null on public routes.
     const serving::workspace* workspace = nullptr;
     serving::service_id service;
+    serving::allowed_data_centres data_centres;
 
     [[nodiscard]] duration time_left() const
     {
@@ -42,13 +43,26 @@
     mutable std::optional<quarantine::request_content> content_;
 };
 
-/// Returns the load balancer query for a request.
+/// Looks up route and workspace of a request in its configuration, and the data
+/// centres that may process it.
+/// @pre request.routes is not null
+/// @errors unknown_route, missing_credentials, unknown_caller_key
+[[nodiscard]] result<void> find_route(
+    const shared_state& state, accepted_request& request);
+
+/// Returns the load balancer query for a request of which no stream began.
 /// @param tried upstreams to exclude
 /// @param limit_queue_length whether to exclude upstreams with long queues
 [[nodiscard]] serving::upstream_query make_upstream_query(
     const shared_state& state, const accepted_request& request,
     const std::set<upstream_id>& tried, bool limit_queue_length);
 
+/// Returns why the load balancer found no upstream.
+/// @pre selection is no chosen_upstream
+[[nodiscard]] result_code refusal_code(
+    const shared_state& state, const accepted_request& request,
+    const serving::choice& selection);
+
 /// Data about a dispatch for the log.
 struct dispatch_summary
 {
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -62,21 +62,6 @@
     return ids.empty() ? "none" : ids;
 }
 
-result_code restriction_code(upstream_statement::restriction reason)
-{
-    using upstream_statement::restriction;
-    switch (reason)
-    {
-    case restriction::limited:
-        return result_code::upstreams_limited;
-    case restriction::paused:
-        return result_code::upstreams_paused;
-    case restriction::leaving:
-        break;
-    }
-    return result_code::upstreams_leaving;
-}
-
 } // namespace
 
 request_handler::request_handler(
@@ -176,23 +161,9 @@
 
 result<void> request_handler::resolve_route()
 {
-    request_.route = request_.routes->find_route(
-        request_.call.host, request_.call.message.path());
-    if (request_.route == nullptr)
-    {
-        return fail(result_code::unknown_route);
-    }
-    if (!request_.route->is_public)
+    if (auto found = find_route(state_, request_); !found)
     {
-        if (request_.call.key.empty())
-        {
-            return fail(result_code::missing_credentials);
-        }
-        request_.workspace = request_.routes->find_workspace(request_.call.key);
-        if (request_.workspace == nullptr)
-        {
-            return fail(result_code::unknown_caller_key);
-        }
+        return found;
     }
     request_.service = serving::draw_service(*request_.route, state_.random);
     request_.deadline =
@@ -281,12 +252,7 @@
     const bool limit_queue_length = record_.executions == 0 && !stream_origin_;
     auto query = make_upstream_query(
         state_, request_, tried_upstreams_, limit_queue_length);
-    query.restricted = state_.statements.restricted();
     query.software = required_software();
-    if (request_.route->is_resumable_stream())
-    {
-        query.processes = &state_.processes;
-    }
     auto selection =
         state_.upstreams.choose(query, state_.random, monotonic_clock::now());
     if (!stream_origin_ && query.processes != nullptr &&
@@ -318,21 +284,22 @@
     {
         return std::move(*chosen);
     }
-    record_.code = stream_origin_ ? result_code::software_version_gone
-                                  : result_code::no_upstream;
+    record_.code = refusal_code(state_, request_, selection);
+    if (stream_origin_ &&
+        std::holds_alternative<serving::none_available>(selection))
+    {
+        record_.code = result_code::software_version_gone;
+    }
     record_.restricted_upstreams.clear();
     if (auto* const restricted =
             std::get_if<serving::all_restricted>(&selection))
     {
         record_.restricted_upstreams = std::move(restricted->upstreams);
-        record_.code = restriction_code(
-            state_.statements.first_end(record_.restricted_upstreams).reason);
     }
     else if (
         const auto* const overloaded =
             std::get_if<serving::all_overloaded>(&selection))
     {
-        record_.code = result_code::queue_full;
         record_.overload = *overloaded;
     }
     return std::nullopt;
@@ -352,7 +319,8 @@
         record_.code == result_code::upstreams_paused
             ? state_.statements.first_end(record_.restricted_upstreams)
                   .remaining
-            : state_.upstreams.retry_after(request_.service, now);
+            : state_.upstreams.retry_after(
+                  request_.service, request_.data_centres, now);
     const auto limit = std::min(
         request_.route->latency_target / upstream_wait_divisor,
         request_.received +
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -473,7 +473,8 @@
             ? record_.overload->excess_wait +
                   jitter(request_.route->latency_target)
             : state_.upstreams.retry_after(
-                  request_.service, monotonic_clock::now());
+                  request_.service, request_.data_centres,
+                  monotonic_clock::now());
     return std::clamp<duration>(
         delay, min_retry_after,
         std::max<duration>(
--- a/src/serving/cache_view.cpp
+++ b/src/serving/cache_view.cpp
@@ -192,7 +192,8 @@
 
 const cache_view::store_state* cache_view::find_holder(
     const part_key& part, token_count tokens,
-    const data_centre_id& local_data_centre, mono_time now) const
+    const data_centre_id& local_data_centre,
+    const allowed_data_centres& allowed, mono_time now) const
 {
     const store_state* best = nullptr;
     double best_rate = 0;
@@ -200,6 +201,7 @@
     {
         const auto held = state.held.find(part);
         if (held == state.held.end() || held->second < tokens ||
+            !allows(allowed, state.store.data_centre) ||
             !is_current(state, now))
         {
             continue;
@@ -223,26 +225,31 @@
                : rate / options_.remote_transfer_factor;
 }
 
-bool cache_view::is_fastest(const store_state& state) const
+bool cache_view::is_fastest(
+    const store_state& state, const allowed_data_centres& allowed) const
 {
     return std::none_of(
         stores_.begin(), stores_.end(),
         [&](const store_state& other)
-        { return other.store.link_rate > state.store.link_rate; });
+        {
+            return allows(allowed, other.store.data_centre) &&
+                   other.store.link_rate > state.store.link_rate;
+        });
 }
 
 const cache_view::store_state* cache_view::home_store(
     const part_key& part, token_count tokens,
-    const data_centre_id& local_data_centre, bool fastest_only,
-    mono_time now) const
+    const data_centre_id& local_data_centre,
+    const allowed_data_centres& allowed, bool fastest_only, mono_time now) const
 {
     const store_state* best = nullptr;
     double best_score = 0;
     for (const auto& state : stores_)
     {
         const auto& store = state.store;
-        if (!is_current(state, now) || state.used + tokens > store.capacity ||
-            (fastest_only && !is_fastest(state)))
+        if (!is_current(state, now) || !allows(allowed, store.data_centre) ||
+            state.used + tokens > store.capacity ||
+            (fastest_only && !is_fastest(state, allowed)))
         {
             continue;
         }
@@ -285,10 +292,12 @@
 
 std::optional<http::address> cache_view::choose_save_target(
     const part_key& part, token_count tokens,
-    const data_centre_id& local_data_centre, const store_state* holder,
-    bool hot, mono_time now)
+    const data_centre_id& local_data_centre,
+    const allowed_data_centres& allowed, const store_state* holder, bool hot,
+    mono_time now)
 {
-    const bool well_placed = holder != nullptr && (!hot || is_fastest(*holder));
+    const bool well_placed =
+        holder != nullptr && (!hot || is_fastest(*holder, allowed));
     const auto save = saves_.find(part);
     const bool save_pending =
         save != saves_.end() && now - save->second < options_.save_retry_delay;
@@ -297,7 +306,7 @@
         return std::nullopt;
     }
     const auto* const target =
-        home_store(part, tokens, local_data_centre, hot, now);
+        home_store(part, tokens, local_data_centre, allowed, hot, now);
     if (target == nullptr || target == holder)
     {
         return std::nullopt;
@@ -320,7 +329,7 @@
 cache_plan cache_view::plan(
     const prompt_metadata& prompt, const cache_salt& salt,
     const data_centre_id& local_data_centre, duration latency_target,
-    duration expected_wait, mono_time now)
+    duration expected_wait, mono_time now, const allowed_data_centres& allowed)
 {
     cache_plan result{.salt = salt};
     result.parts.resize(prompt.parts.size());
@@ -340,11 +349,12 @@
     {
         const auto& wanted_part = prompt.parts[i];
         const part_key part{salt, wanted_part.id};
-        const auto* const holder =
-            find_holder(part, wanted_part.tokens, local_data_centre, now);
+        const auto* const holder = find_holder(
+            part, wanted_part.tokens, local_data_centre, allowed, now);
         const bool hot = count_use(wanted_part.id, now);
         result.parts[i].save_to = choose_save_target(
-            part, wanted_part.tokens, local_data_centre, holder, hot, now);
+            part, wanted_part.tokens, local_data_centre, allowed, holder, hot,
+            now);
         prefix_available = prefix_available && holder != nullptr &&
                            may_fetch_from(holder->store.address);
         if (prefix_available && clock_offset_ms_)
--- a/src/serving/cache_view.hpp
+++ b/src/serving/cache_view.hpp
@@ -132,10 +132,12 @@
     /// @param local_data_centre data centre of the chosen upstream
     /// @param expected_wait time until the engine starts on the prompt; fetches
     /// do not begin earlier
+    /// @param allowed data centres whose stores may hold parts of the prompt
     [[nodiscard]] cache_plan plan(
         const prompt_metadata& prompt, const cache_salt& salt,
         const data_centre_id& local_data_centre, duration latency_target,
-        duration expected_wait, mono_time now);
+        duration expected_wait, mono_time now,
+        const allowed_data_centres& allowed);
 
     /// Records the delay of a prompt's first byte; see
     /// fetch_throttle::record_first_byte.
@@ -185,22 +187,27 @@
     /// Returns the fastest current store that holds the part, null if none.
     [[nodiscard]] const store_state* find_holder(
         const part_key& part, token_count tokens,
-        const data_centre_id& local_data_centre, mono_time now) const;
+        const data_centre_id& local_data_centre,
+        const allowed_data_centres& allowed, mono_time now) const;
     /// Returns the store to which rendezvous hashing assigns the part, null if
     /// none has room.
     [[nodiscard]] const store_state* home_store(
         const part_key& part, token_count tokens,
-        const data_centre_id& local_data_centre, bool fastest_only,
+        const data_centre_id& local_data_centre,
+        const allowed_data_centres& allowed, bool fastest_only,
         mono_time now) const;
     [[nodiscard]] double effective_rate(
         const store_state& state,
         const data_centre_id& local_data_centre) const;
-    [[nodiscard]] bool is_fastest(const store_state& state) const;
+    /// Returns whether no store of the allowed data centres has a faster link.
+    [[nodiscard]] bool is_fastest(
+        const store_state& state, const allowed_data_centres& allowed) const;
     /// @return whether the part is hot
     [[nodiscard]] bool count_use(const part_id& part, mono_time now);
     [[nodiscard]] std::optional<http::address> choose_save_target(
         const part_key& part, token_count tokens,
-        const data_centre_id& local_data_centre, const store_state* holder,
+        const data_centre_id& local_data_centre,
+        const allowed_data_centres& allowed, const store_state* holder,
         bool hot, mono_time now);
     void record_save(const part_key& part, mono_time now);
     void record_answer(
--- a/src/serving/configuration.hpp
+++ b/src/serving/configuration.hpp
@@ -57,6 +57,8 @@
     bool is_public = false;
     /// Whether another upstream may resume a broken stream.
     bool resumable = false;
+    /// Regions that may process its requests; empty: all.
+    std::set<region_id> allowed_regions;
 
     [[nodiscard]] bool is_resumable_stream() const noexcept
     {
@@ -98,8 +100,33 @@
     std::optional<std::uint32_t> priority;
     /// Whether the workspace shares no cached part with others.
     bool isolated = false;
+    /// Regions that may process its requests; empty: all. The regions of the
+    /// route apply as well.
+    std::set<region_id> allowed_regions;
 };
 
+/// Data centres that may process a request; nullopt: all.
+using allowed_data_centres = std::optional<std::set<data_centre_id>>;
+
+/// Returns the data centres in regions that both the route and the workspace
+/// allow. One whose region is unknown is not allowed if there is a restriction.
+/// @param workspace null for requests without credentials
+[[nodiscard]] allowed_data_centres find_allowed_data_centres(
+    const route& route, const workspace* workspace,
+    const std::map<data_centre_id, region_id>& regions);
+
+/// Returns the cache scope of requests that only some data centres may process,
+/// so that no other request moves their cached parts elsewhere.
+[[nodiscard]] cache_scope restrict_scope(
+    const cache_scope& scope, const allowed_data_centres& allowed);
+
+/// Returns whether a data centre may process a request.
+[[nodiscard]] inline bool allows(
+    const allowed_data_centres& allowed, const data_centre_id& data_centre)
+{
+    return !allowed || allowed->contains(data_centre);
+}
+
 /// Size and time limits for receiving a request.
 struct request_limits
 {
--- a/src/serving/load_balancer.cpp
+++ b/src/serving/load_balancer.cpp
@@ -55,24 +55,6 @@
            (state.removed_at && now >= *state.removed_at);
 }
 
-bool load_balancer::is_available(
-    const upstream_state& state, mono_time now) const
-{
-    if (is_draining_or_removed(state, now) ||
-        (is_load_known(state, now) && state.load.loading_weights))
-    {
-        return false;
-    }
-    if (!state.paused_until)
-    {
-        return true;
-    }
-    // After connection failures one request probes the upstream; the others
-    // wait for its result.
-    return now >= *state.paused_until &&
-           (state.connect_failures == 0 || state.in_flight == 0);
-}
-
 double load_balancer::decayed_failure_share(
     const upstream_state& state, mono_time now) const
 {
@@ -161,85 +143,157 @@
     return sum;
 }
 
-bool load_balancer::is_eligible(
+exclusion load_balancer::find_ineligibility(
     const upstream_state& state, const upstream_query& query,
     mono_time now) const
 {
-    if (state.entry.service != query.service ||
-        query.excluded.contains(state.entry.id) ||
-        evacuated_.contains(state.entry.data_centre) ||
-        (query.software && *query.software != state.entry.software) ||
-        (query.processes != nullptr &&
-         query.processes->is_replaced(state.entry)) ||
-        !is_available(state, now))
+    if (query.excluded.contains(state.entry.id))
     {
-        return false;
+        return exclusion::already_tried;
     }
-    if (!query.min_version || !query.model)
+    if (evacuated_.contains(state.entry.data_centre))
     {
-        return true;
+        return exclusion::evacuated;
+    }
+    if (!allows(query.data_centres, state.entry.data_centre))
+    {
+        return exclusion::other_region;
+    }
+    if (query.software && *query.software != state.entry.software)
+    {
+        return exclusion::other_software;
+    }
+    if (query.processes != nullptr && query.processes->is_replaced(state.entry))
+    {
+        return exclusion::replaced_process;
+    }
+    if (is_draining_or_removed(state, now))
+    {
+        return exclusion::leaving;
+    }
+    if (is_load_known(state, now) && state.load.loading_weights)
+    {
+        return exclusion::loading_weights;
+    }
+    // After connection failures one request probes the upstream; the others
+    // wait for its result.
+    if (state.paused_until &&
+        (now < *state.paused_until ||
+         (state.connect_failures > 0 && state.in_flight > 0)))
+    {
+        return exclusion::paused;
     }
-    const auto version = version_of_model(state.entry, *query.model);
-    return !version || *version >= *query.min_version;
+    if (query.min_version && query.model)
+    {
+        const auto version = version_of_model(state.entry, *query.model);
+        if (version && *version < *query.min_version)
+        {
+            return exclusion::older_weights;
+        }
+    }
+    return exclusion::none;
+}
+
+exclusion load_balancer::find_exclusion(
+    const upstream_state& state, const upstream_query& query,
+    mono_time now) const
+{
+    const auto ineligibility = find_ineligibility(state, query, now);
+    if (ineligibility != exclusion::none)
+    {
+        return ineligibility;
+    }
+    if (query.restricted.contains(process_of(state.entry)))
+    {
+        return exclusion::restricted;
+    }
+    if (!query.max_wait)
+    {
+        return exclusion::none;
+    }
+    if (!has_memory(state, query.tokens, now))
+    {
+        return exclusion::no_memory;
+    }
+    return expected_wait(state, now) > *query.max_wait
+               ? exclusion::queue_too_long
+               : exclusion::none;
+}
+
+load_balancer::candidate load_balancer::make_candidate(
+    const upstream_state& state, const upstream_query& query,
+    const upstream_speed::speed_scale& speeds, mono_time now) const
+{
+    const double slowness = speeds.slowness(known_speed(state, now));
+    return {
+        .state = &state,
+        .cost = cost(state, query, slowness, now),
+        .expected_wait = scale(expected_wait(state, now), slowness),
+        .slowness = slowness,
+        .affinity = routing::rendezvous_weight(
+            query.affinity_key, routing::stable_hash(state.entry.id.value()))};
 }
 
 load_balancer::candidate_list load_balancer::list_candidates(
-    const upstream_query& query, random_source& random, mono_time now) const
+    const upstream_query& query, mono_time now) const
 {
     candidate_list found;
+    const auto add_excess_wait = [&](duration excess)
+    {
+        found.min_excess_wait =
+            std::min(excess, found.min_excess_wait.value_or(excess));
+    };
     const auto speeds = make_speed_scale(query.service, now);
     for (const auto& [id, state] : upstreams_)
     {
-        if (!is_eligible(state, query, now))
-        {
-            continue;
-        }
-        const auto process = process_of(state.entry);
-        if (query.restricted.contains(process))
+        if (state.entry.service != query.service)
         {
-            found.restricted.upstreams.insert(process);
             continue;
         }
-        if (query.max_wait && !has_memory(state, query.tokens, now))
+        switch (find_exclusion(state, query, now))
         {
+        case exclusion::none:
+            found.candidates.push_back(
+                make_candidate(state, query, speeds, now));
+            break;
+        case exclusion::restricted:
+            found.restricted.upstreams.insert(process_of(state.entry));
+            break;
+        case exclusion::no_memory:
             ++found.without_memory;
-            const duration next_report = memory_estimate_options{}.report_age;
-            found.min_excess_wait = std::min(
-                next_report, found.min_excess_wait.value_or(next_report));
-            continue;
-        }
-        const double slowness = speeds.slowness(known_speed(state, now));
-        const duration wait = expected_wait(state, now);
-        if (query.max_wait && wait > *query.max_wait)
-        {
-            const duration excess = wait - *query.max_wait;
-            found.min_excess_wait =
-                std::min(excess, found.min_excess_wait.value_or(excess));
-            continue;
+            add_excess_wait(memory_estimate_options{}.report_age);
+            break;
+        case exclusion::queue_too_long:
+            add_excess_wait(expected_wait(state, now) - *query.max_wait);
+            break;
+        case exclusion::leaving:
+        case exclusion::loading_weights:
+        case exclusion::paused:
+        case exclusion::already_tried:
+        case exclusion::evacuated:
+        case exclusion::other_region:
+        case exclusion::other_software:
+        case exclusion::replaced_process:
+        case exclusion::older_weights:
+            break;
         }
-        // Gateways with the same load report would all choose the same
-        // upstream; the noise spreads them over upstreams of similar cost.
-        const duration max_noise = state.load.prefill_of_other_gateways
-                                       ? options_.cost_tolerance
-                                       : options_.wait_per_prompt;
-        const duration noise(static_cast<duration::rep>(
-            random.below(static_cast<std::uint64_t>(max_noise.count()))));
-        const auto affinity = routing::rendezvous_weight(
-            query.affinity_key, routing::stable_hash(id.value()));
-        found.candidates.push_back(
-            {.state = &state,
-             .cost = cost(state, query, slowness, now) + noise,
-             .expected_wait = scale(wait, slowness),
-             .slowness = slowness,
-             .affinity = affinity});
+    }
+    if (query.affinity_key != 0 && !found.candidates.empty())
+    {
+        auto& preferred = *std::max_element(
+            found.candidates.begin(), found.candidates.end(),
+            [](const auto& a, const auto& b)
+            { return a.affinity < b.affinity; });
+        preferred.cost -= options_.affinity_bonus;
+        preferred.is_preferred = true;
     }
     return found;
 }
 
 choice load_balancer::choose(
-    const upstream_query& query, random_source& random, mono_time now)
+    const upstream_query& query, random_source& random, mono_time now) const
 {
-    auto found = list_candidates(query, random, now);
+    auto found = list_candidates(query, now);
     auto& candidates = found.candidates;
     if (candidates.empty())
     {
@@ -253,13 +307,15 @@
                    ? choice(none_available{})
                    : choice(std::move(found.restricted));
     }
-    if (query.affinity_key != 0)
+    // Gateways with the same load report would all choose the same upstream;
+    // the noise spreads them over upstreams of similar cost.
+    for (auto& each : candidates)
     {
-        auto& preferred = *std::max_element(
-            candidates.begin(), candidates.end(),
-            [](const auto& a, const auto& b)
-            { return a.affinity < b.affinity; });
-        preferred.cost -= options_.affinity_bonus;
+        const duration max_noise = each.state->load.prefill_of_other_gateways
+                                       ? options_.cost_tolerance
+                                       : options_.wait_per_prompt;
+        each.cost += duration(static_cast<duration::rep>(
+            random.below(static_cast<std::uint64_t>(max_noise.count()))));
     }
     const auto best = std::min_element(
         candidates.begin(), candidates.end(),
@@ -278,14 +334,16 @@
 }
 
 duration load_balancer::retry_after(
-    const service_id& service, mono_time now) const
+    const service_id& service, const allowed_data_centres& allowed,
+    mono_time now) const
 {
     duration shortest = options_.max_connect_pause;
     for (const auto& [id, state] : upstreams_)
     {
         if (state.entry.service == service && state.paused_until &&
             !state.entry.draining &&
-            !evacuated_.contains(state.entry.data_centre))
+            !evacuated_.contains(state.entry.data_centre) &&
+            allows(allowed, state.entry.data_centre))
         {
             shortest = std::min(
                 shortest,
--- a/src/serving/load_balancer.hpp
+++ b/src/serving/load_balancer.hpp
@@ -5,6 +5,7 @@
 
 #include "core/clock.hpp"
 #include "core/random_source.hpp"
+#include "serving/configuration.hpp"
 #include "serving/memory_estimate.hpp"
 #include "serving/running_processes.hpp"
 #include "serving/upstream.hpp"
@@ -153,6 +154,8 @@
     std::optional<duration> max_wait;
     /// Tokens for which an engine needs memory.
     token_count tokens;
+    /// Excludes upstreams of other data centres.
+    allowed_data_centres data_centres;
     /// Excludes upstreams of other software versions.
     std::optional<software_version> software;
     /// Excludes upstreams whose listed process is known to have been replaced;
@@ -214,6 +217,47 @@
 using choice = std::variant<
     chosen_upstream, all_overloaded, all_restricted, none_available>;
 
+/// Why an upstream of the service cannot be chosen.
+enum class exclusion : std::uint8_t
+{
+    none,
+    leaving,
+    loading_weights,
+    /// Connections failed, or it refused a request.
+    paused,
+    already_tried,
+    evacuated,
+    /// In a region that the request may not be processed in.
+    other_region,
+    other_software,
+    replaced_process,
+    older_weights,
+    /// It stated that it takes no requests of this gateway now, or it is cold.
+    restricted,
+    no_memory,
+    queue_too_long,
+};
+
+/// Returns the name of the reason in logs and reports.
+[[nodiscard]] std::string_view name(exclusion reason) noexcept;
+
+/// What the choice of an upstream depends on.
+struct assessed_upstream
+{
+    upstream entry;
+    exclusion excluded = exclusion::none;
+    duration expected_wait{};
+    double slowness = 1;
+    /// Without the random part; the lowest is chosen.
+    duration cost{};
+    /// Whether the prompt's parts are probably in its cache.
+    bool preferred = false;
+    std::uint32_t in_flight = 0;
+    double failure_share = 0;
+    /// Age of the last load report; nullopt without one.
+    std::optional<duration> load_age;
+};
+
 /// Not thread-safe. Memory and time: linear in the number of upstreams.
 class load_balancer
 {
@@ -281,11 +325,19 @@
 
     /// Returns the upstream with the lowest expected cost.
     [[nodiscard]] choice choose(
-        const upstream_query& query, random_source& random, mono_time now);
+        const upstream_query& query, random_source& random,
+        mono_time now) const;
+
+    /// Assesses all upstreams of the query's service as choose() does, in the
+    /// order of their ids.
+    [[nodiscard]] std::vector<assessed_upstream> assess(
+        const upstream_query& query, mono_time now) const;
 
-    /// Returns the time until an upstream of the service may be tried again.
+    /// Returns the time until an upstream of the service in one of the data
+    /// centres may be tried again.
     [[nodiscard]] duration retry_after(
-        const service_id& service, mono_time now) const;
+        const service_id& service, const allowed_data_centres& allowed,
+        mono_time now) const;
     /// Returns whether the upstream is draining, removed or unknown, so that it
     /// gets no new requests.
     [[nodiscard]] bool is_leaving(const upstream_id& id, mono_time now) const;
@@ -364,10 +416,12 @@
     struct candidate
     {
         const upstream_state* state = nullptr;
+        /// Without noise.
         duration cost{};
         duration expected_wait{};
         double slowness = 1;
         std::uint64_t affinity = 0;
+        bool is_preferred = false;
     };
     struct candidate_list
     {
@@ -382,7 +436,13 @@
     };
 
     [[nodiscard]] candidate_list list_candidates(
-        const upstream_query& query, random_source& random,
+        const upstream_query& query, mono_time now) const;
+    [[nodiscard]] candidate make_candidate(
+        const upstream_state& state, const upstream_query& query,
+        const upstream_speed::speed_scale& speeds, mono_time now) const;
+    /// Returns why an upstream of the query's service cannot be chosen.
+    [[nodiscard]] exclusion find_exclusion(
+        const upstream_state& state, const upstream_query& query,
         mono_time now) const;
     /// Returns whether an entry may name an upstream that runs.
     [[nodiscard]] bool counts(const upstream_state& state) const;
@@ -393,10 +453,8 @@
     void forget_address(const upstream_id& id, const http::address& address);
     [[nodiscard]] static bool is_draining_or_removed(
         const upstream_state& state, mono_time now) noexcept;
-    [[nodiscard]] bool is_available(
-        const upstream_state& state, mono_time now) const;
-    /// Returns whether it may be chosen regardless of its load.
-    [[nodiscard]] bool is_eligible(
+    /// Returns why it cannot be chosen regardless of its load.
+    [[nodiscard]] exclusion find_ineligibility(
         const upstream_state& state, const upstream_query& query,
         mono_time now) const;
     [[nodiscard]] double decayed_failure_share(
--- a/src/serving/test/cache_view_test.cpp
+++ b/src/serving/test/cache_view_test.cpp
@@ -75,7 +75,7 @@
     {
         return view_.plan(
             prompt_, salt, local_data_centre, milliseconds(500), expected_wait_,
-            now_);
+            now_, std::nullopt);
     }
 
     cache_view view_;
@@ -271,7 +271,8 @@
 {
     apply_answer(1, {make_change("a", 100)});
     const auto result = view_.plan(
-        prompt_, salt, local_data_centre, seconds(30), seconds(30), now_);
+        prompt_, salt, local_data_centre, seconds(30), seconds(30), now_,
+        std::nullopt);
     EXPECT_EQ(result.fetch_deadline_ms, 5'000'000 + 900);
 }
 
@@ -445,7 +446,8 @@
             break;
         }
         const auto result = view.plan(
-            prompt, salt, data_centre_id{}, milliseconds(500), duration{}, now);
+            prompt, salt, data_centre_id{}, milliseconds(500), duration{}, now,
+            std::nullopt);
         if (result.parts[0].fetch_from)
         {
             RC_ASSERT(held[part_id{"a"}]);
--- a/src/serving/test/load_balancer_test.cpp
+++ b/src/serving/test/load_balancer_test.cpp
@@ -193,7 +193,7 @@
     for (int failure = 0; failure < 4; ++failure)
     {
         run_attempt("a", connect_failed{});
-        const auto pause = balancer_.retry_after(engines, now_);
+        const auto pause = balancer_.retry_after(engines, std::nullopt, now_);
         EXPECT_GT(pause, previous_pause);
         previous_pause = pause;
         now_ += pause;
--- a/src/serving/test/uneven_upstreams_test.cpp
+++ b/src/serving/test/uneven_upstreams_test.cpp
@@ -153,6 +153,34 @@
     EXPECT_GT(send(20)["2"], 0);
 }
 
+/// A report that is not renewed grows old.
+TEST_F(uneven_upstreams_fixture, age_of_the_load_report_counts)
+{
+    list("1");
+    for (const auto* const id : {"2", "3"})
+    {
+        list(id);
+        balancer_.update_load(
+            upstream_id{id},
+            {.speed =
+                 upstream_speed::measured_speed{
+                     .ratio = id == std::string("3") ? 4.0 : 1.0,
+                     .age = milliseconds(900)}},
+            now_);
+    }
+    const auto slowness = [&]
+    {
+        return balancer_
+            .assess({.service = ledger, .local_data_centre = near}, now_)
+            .back()
+            .slowness;
+    };
+    const double reported = slowness();
+    now_ += milliseconds(900);
+    EXPECT_LT(slowness(), reported);
+    EXPECT_GT(slowness(), 1);
+}
+
 /// The measurements of a process must not count for the next one.
 TEST_F(uneven_upstreams_fixture, restarted_upstream_has_no_speed)
 {
