wagtailctl placement: explain where a request would go now

The gateway assesses all upstreams for the path and headers of a request as its first attempt would, at its metrics address, and sends nothing. The command prints the decision, and for each upstream its cost, wait, slowness, failures, age of its load report and why it is excluded.

--- a/programs/wagtailctl.cpp
+++ b/programs/wagtailctl.cpp
@@ -58,6 +58,7 @@
     std::ranges::move(acceptance_commands(), std::back_inserter(all));
     std::ranges::move(status_commands(), std::back_inserter(all));
     std::ranges::move(explain_commands(), std::back_inserter(all));
+    std::ranges::move(placement_commands(), std::back_inserter(all));
     return all;
 }
 
--- a/programs/wagtailctl.hpp
+++ b/programs/wagtailctl.hpp
@@ -59,6 +59,7 @@
 [[nodiscard]] std::vector<command> acceptance_commands();
 [[nodiscard]] std::vector<command> status_commands();
 [[nodiscard]] std::vector<command> explain_commands();
+[[nodiscard]] std::vector<command> placement_commands();
 
 /// A platform client whose calls wait for their answers.
 class platform_session
--- a/src/gateway/app.cpp
+++ b/src/gateway/app.cpp
@@ -1,6 +1,7 @@
 // Servers, startup and shutdown of the gateway.
 #include "gateway/app.hpp"
 
+#include "gateway/placement_report.hpp"
 #include "gateway/request_handler.hpp"
 #include "telemetry/event_log.hpp"
 
@@ -9,6 +10,7 @@
 #include <boost/asio/experimental/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <stdexcept>
@@ -125,7 +127,8 @@
       metrics_server_(
           context.get_executor(),
           make_internal_options(std::move(metrics_listen)),
-          [this](http::exchange& exchange) { return serve_metrics(exchange); }),
+          [this](http::exchange& exchange)
+          { return serve_operator(exchange); }),
       state_updater_(context, state_, [this] { apply_server_limits(); })
 {
     state_.is_running = [this](serving::upstream entry)
@@ -191,6 +194,21 @@
     (void)co_await exchange.send(std::move(response));
 }
 
+asio::awaitable<void> app::serve_operator(http::exchange& exchange)
+{
+    if (exchange.received_request().path() != placement_path)
+    {
+        co_await serve_metrics(exchange);
+        co_return;
+    }
+    const auto placement =
+        explain_placement(state_, exchange.release_request());
+    http::response response;
+    response.content_type = "application/json";
+    response.body = placement.dump();
+    (void)co_await exchange.send(std::move(response));
+}
+
 asio::awaitable<void> app::serve_metrics(http::exchange& exchange)
 {
     state_.metrics.set_gauge(
--- a/src/gateway/app.hpp
+++ b/src/gateway/app.hpp
@@ -32,6 +32,8 @@
 
 private:
     asio::awaitable<void> serve_readiness(http::exchange& exchange);
+    /// Serves metrics, and explanations of placements.
+    asio::awaitable<void> serve_operator(http::exchange& exchange);
     asio::awaitable<void> serve_metrics(http::exchange& exchange);
     /// @param termination when the process is terminated by force
     asio::awaitable<void> finish_drain(mono_time termination);
