Placement: a service of weight 0 does not decide

Found by reading: if a route's services with a share had no upstream, but one of weight 0 had, the decision was to refuse with the code ok.

--- a/src/gateway/placement_report.cpp
+++ b/src/gateway/placement_report.cpp
@@ -129,26 +129,22 @@
     document["workspace"] =
         request.workspace != nullptr ? request.workspace->id.value() : "";
     document["configuration"] = request.routes->config().number.value();
+    set_decision(document, result_code::no_upstream);
     auto services = json::array();
     bool is_sent = false;
     for (const auto& share : request.route->services)
     {
-        services.push_back(explain_service(state, request, share, now));
-        const auto& added = services.back();
-        is_sent = is_sent || (share.weight > 0 && added["decision"] == "send");
-        if (!is_sent)
+        auto explained = explain_service(state, request, share, now);
+        // A service of weight 0 gets no requests.
+        if (share.weight > 0 && !is_sent)
         {
-            document["code"] = added["code"];
-            document["reason"] = added["reason"];
+            for (const auto* const field : {"decision", "code", "reason"})
+            {
+                document[field] = explained[field];
+            }
+            is_sent = explained["decision"] == "send";
         }
-    }
-    if (is_sent)
-    {
-        set_decision(document, result_code::ok);
-    }
-    else
-    {
-        document["decision"] = "refuse";
+        services.push_back(std::move(explained));
     }
     document["services"] = std::move(services);
 }
