--- a/review/support-2/harness.py
+++ b/review/support-2/harness.py
@@ -21,6 +21,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 KEY = "caller-key"
 MODEL = "m1"
+# Time in which a runner loads new weights.
+LOAD_S = 0.57
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -253,10 +255,13 @@
     """A sound runner. It notes each request that it ran. `answer` may be
     replaced to answer otherwise."""
 
-    def __init__(self, deployment, service, number, software="v1"):
+    def __init__(self, deployment, service, number):
         self.deployment, self.service = deployment, service
         self.id = f"{service}-{number}"
-        self.software = software
+        # Versions of the models' weights.
+        self.models = {MODEL: 1}
+        # The order in progress, and the number of accepted ones.
+        self.order, self.sequence = None, 0
         self.born = int(time.time() * 1000) - 60_000
         self.runs = collections.Counter()
         super().__init__()
@@ -264,9 +269,13 @@
     def register(self, state="ready"):
         self.deployment.store.put_json("servers", self.id, {
             "service": self.service, "address": self.address, "zone": "z",
-            "version": self.software, "slots": 16, "state": state,
-            "coldLeftMs": 0, "sequence": 1, "born": self.born,
-            "models": [{"name": MODEL, "version": 1, "adapters": []}]})
+            "version": "v1", "slots": 16, "state": state, "coldLeftMs": 0,
+            "sequence": self.sequence, "born": self.born,
+            "models": self.list_models()})
+
+    def list_models(self):
+        return [{"name": name, "version": version, "adapters": []}
+                for name, version in self.models.items()]
 
     def converse(self, connection, reader):
         while True:
@@ -276,12 +285,28 @@
             if target == "/report":
                 connection.sendall(self.report())
                 continue
+            if target == "/order":
+                connection.sendall(self.take_order(json.loads(body)))
+                continue
             request = lookup(headers, "Request-Id", "")
             if lookup(headers, "Expect-Instance", self.id) != self.id:
                 connection.sendall(encode_response(
                     421, self.common_headers(request) +
                     [("Not-Executed", "1")]))
                 continue
+            model = lookup(headers, "Model")
+            expected = lookup(headers, "Expect-Version")
+            if expected and int(expected) != self.models.get(model):
+                connection.sendall(encode_response(
+                    421, self.common_headers(request) + [
+                        ("Not-Executed", "1"),
+                        ("Weight-Versions", str(self.models.get(model)))]))
+                continue
+            if self.order and self.order["model"] == model:
+                connection.sendall(encode_response(
+                    503, self.common_headers(request) +
+                    [("Not-Executed", "1")]))
+                continue
             self.deployment.note(
                 f"{self.id} runs {method} {target} id={request} "
                 f"body={len(body)}")
@@ -291,11 +316,28 @@
     def report(self):
         return encode_response(
             200, [("Content-Type", "application/json")], json.dumps({
-                "stage": "prefill_decode", "busy": False, "sequence": 1,
-                "queued": 0, "running": 0, "kvUsed": 0, "kvTotal": 90000,
-                "handles": 0, "runs": [], "born": self.born,
-                "models": [{"name": MODEL, "version": 1, "adapters": []}]
-            }).encode())
+                "stage": "prefill_decode", "busy": self.order is not None,
+                "sequence": self.sequence, "queued": 0, "running": 0,
+                "kvUsed": 0, "kvTotal": 64400, "handles": 0, "runs": [],
+                "born": self.born, "models": self.list_models()}).encode())
+
+    def take_order(self, order):
+        if self.order or order.get("expected", self.sequence) != self.sequence:
+            return encode_response(409)
+        if order["op"] != "version":
+            return encode_response(400)
+        if self.models.get(order["model"]) == order["version"]:
+            return encode_response(200)
+        self.order = order
+        self.sequence += 1
+        self.deployment.note(f"{self.id} takes the order {json.dumps(order)}")
+        threading.Timer(LOAD_S, self.finish_order).start()
+        return encode_response(202)
+
+    def finish_order(self):
+        self.models[self.order["model"]] = self.order["version"]
+        self.order = None
+        self.register()
 
     def common_headers(self, request):
         return [("Request-Id", request), ("Instance-Id", self.id)]
@@ -370,8 +412,12 @@
                        "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
             "tenants": [{"name": "w", "apiKeys": [KEY], "isolated": False}]}
         self.store.put_json("op", "config", self.configuration)
-        self.store.put_json("op", f"version/{MODEL}",
-                            {"model": MODEL, "version": 1})
+        self.name_weights(MODEL, 1)
+
+    def name_weights(self, model, version):
+        self.note(f"the operator names version {version} of {model}")
+        self.store.put_json("op", f"version/{model}",
+                            {"model": model, "version": version})
 
     def note(self, text):
         with self.lock:
