--- a/review/7/case.py
+++ b/review/7/case.py
@@ -27,7 +27,7 @@
 READ_S = 0.05
 EVENTS = 6
 # Time after the new weights are named; agents free their old parts meanwhile.
-OBSERVED_S = 20
+OBSERVED_S = 16
 
 
 def clock_ms():
@@ -218,7 +218,7 @@
         for asker in askers:
             asker.start()
         # The prompts of callers that return find their parts in the store.
-        time.sleep(15)
+        time.sleep(8)
         deployment.note(f"kept parts: {len(deployment.kept_parts.held)}, "
                         f"fetches: {Engine.fetches}")
         if Engine.fetches < 20:
