Cache: salts that can be told apart and read back

Callers of the model "reader-1.5" had fetched parts freed under them when "reader-1" got new weights; parts of "reader-1.5" were never freed by its own new weights.

Cause: a salt was joined by dots and read back up to the next dot, so "w2.reader-1.5" was taken for a part of "reader-1" at version 2.

Fields are escaped now, and a text is read as a salt only if it is the one that make_cache_salt() returns for the result: different namespaces have different salts for any names. Plain models without a scope keep their salts. Complete parts that an earlier release saved are freed by the model that the store reports; an incomplete one whose salt does not tell its model is left.

The test of swept parts used the salt "w1.m.workspace", which is such an ambiguous one of an earlier release; it uses make_cache_salt() now, and the cases of earlier releases have tests of their own.

--- a/src/agent/cache_sweep_scheduler.cpp
+++ b/src/agent/cache_sweep_scheduler.cpp
@@ -2,9 +2,33 @@
 #include "agent/cache_sweep_scheduler.hpp"
 
 #include "agent/store_rank.hpp"
+#include "serving/cache_salt.hpp"
+
+#include <optional>
 
 namespace wagtailseam::agent
 {
+namespace
+{
+
+/// Returns the version of a model's weights in a salt, nothing if the salt is
+/// not one of the model.
+/// @param reported the model of the part, if the store reports one
+std::optional<weight_version> version_of(
+    const serving::cache_salt& salt, const model_id& model,
+    const std::optional<model_id>& reported = std::nullopt)
+{
+    if (const auto fields = serving::parse_cache_salt(salt))
+    {
+        return fields->model == model ? std::optional(fields->version)
+                                      : std::nullopt;
+    }
+    return reported == model ? serving::version_from_legacy_salt(salt, model)
+                             : std::nullopt;
+}
+
+} // namespace
+
 cache_sweep_scheduler::cache_sweep_scheduler(const cache_sweep_options& options)
     : options_(options)
 {
@@ -56,22 +80,22 @@
     weight_version oldest_kept)
 {
     std::vector<serving::part_key> parts;
-    const auto add_if_older = [&](const serving::part_key& part)
+    for (const auto& complete : content.complete)
     {
-        const auto version = serving::version_from_salt(part.salt);
-        if (version && *version < oldest_kept &&
-            serving::model_from_salt(part.salt) == model)
+        const auto version =
+            version_of(complete.key.salt, model, complete.model);
+        if (version && *version < oldest_kept)
         {
-            parts.push_back(part);
+            parts.push_back(complete.key);
         }
-    };
-    for (const auto& complete : content.complete)
-    {
-        add_if_older(complete.key);
     }
     for (const auto& incomplete : content.incomplete)
     {
-        add_if_older(incomplete);
+        const auto version = version_of(incomplete.salt, model);
+        if (version && *version < oldest_kept)
+        {
+            parts.push_back(incomplete);
+        }
     }
     return parts;
 }
--- a/src/agent/cache_sweep_scheduler.hpp
+++ b/src/agent/cache_sweep_scheduler.hpp
@@ -65,7 +65,9 @@
 };
 
 /// Returns the parts in a store that belong to a model's weights older than
-/// `oldest_kept`, incomplete ones included. Complexity: linear in the content.
+/// `oldest_kept`, incomplete ones included. Incomplete parts that an earlier
+/// release saved are left if their salt does not tell their model. Complexity:
+/// linear in the content.
 [[nodiscard]] std::vector<serving::part_key> parts_of_older_weights(
     const serving::cache_content& content, const model_id& model,
     weight_version oldest_kept);
--- a/src/agent/test/cache_sweep_scheduler_test.cpp
+++ b/src/agent/test/cache_sweep_scheduler_test.cpp
@@ -1,6 +1,7 @@
 // Checks which agent frees parts, and that it waits until no process can still
 // read them.
 #include "agent/cache_sweep_scheduler.hpp"
+#include "serving/cache_salt.hpp"
 
 #include <gtest/gtest.h>
 
@@ -87,26 +88,97 @@
             .empty());
 }
 
-TEST(
-    parts_of_older_weights,
-    only_parts_of_older_weights_of_the_model_are_returned)
+/// Parts in a store, by the version of the weights that computed them.
+class swept_parts_fixture : public testing::Test
 {
-    const auto part = [](const char* salt) {
-        return serving::part_key{
-            serving::cache_salt{salt}, serving::part_id{"p"}};
-    };
-    const serving::cache_content content{
-        .complete =
-            {{part("w1.m"), token_count{5}},
-             {part("w2.m"), token_count{5}},
-             {part("w1.other"), token_count{5}},
-             {part("foreign"), token_count{5}}},
-        .incomplete = {part("w1.m.workspace")}};
-    const auto parts =
-        parts_of_older_weights(content, model, weight_version{2});
-    ASSERT_EQ(parts.size(), 2U);
-    EXPECT_EQ(parts[0], part("w1.m"));
-    EXPECT_EQ(parts[1], part("w1.m.workspace"));
+protected:
+    static serving::part_key part(const serving::cache_salt& salt)
+    {
+        return {salt, serving::part_id{"p"}};
+    }
+
+    static serving::part_key part(
+        const model_id& of, std::uint64_t version, const char* scope = "")
+    {
+        return part(serving::make_cache_salt(
+            {of, weight_version{version}, serving::cache_scope{scope}}));
+    }
+
+    void hold(const serving::part_key& held, const model_id& of)
+    {
+        content_.complete.push_back(
+            {.key = held, .tokens = token_count{5}, .model = of});
+    }
+
+    [[nodiscard]] std::vector<serving::part_key> parts_before(
+        const model_id& of, std::uint64_t version) const
+    {
+        return parts_of_older_weights(content_, of, weight_version{version});
+    }
+
+    serving::cache_content content_;
+};
+
+TEST_F(swept_parts_fixture, only_parts_of_older_weights_of_the_model_are_freed)
+{
+    const model_id other{"other"};
+    hold(part(model, 1), model);
+    hold(part(model, 2), model);
+    hold(part(other, 1), other);
+    hold(part(serving::cache_salt{"foreign"}), model);
+    content_.incomplete = {part(model, 1, "i.workspace"), part(other, 1)};
+    EXPECT_EQ(
+        parts_before(model, 2),
+        (std::vector{part(model, 1), part(model, 1, "i.workspace")}));
+}
+
+/// Guards against MIXED: new weights of a model freed the parts of all models
+/// whose names continued with a dot, and the parts of these were never freed.
+TEST_F(swept_parts_fixture, models_with_a_common_beginning_keep_their_parts)
+{
+    const std::vector<model_id> models{
+        model_id{"reader-1"},     model_id{"reader-1.5"},
+        model_id{"reader-1.i.w"}, model_id{"reader-1%2E5"},
+        model_id{"w9"},           model_id{"r.0"}};
+    for (const auto& each : models)
+    {
+        hold(part(each, 2), each);
+        hold(part(each, 2, "i.w"), each);
+        content_.incomplete.push_back(part(each, 2, "r.0.s.1"));
+    }
+    for (const auto& each : models)
+    {
+        EXPECT_EQ(
+            parts_before(each, 9), (std::vector{
+                                       part(each, 2), part(each, 2, "i.w"),
+                                       part(each, 2, "r.0.s.1")}));
+        EXPECT_TRUE(parts_before(each, 2).empty());
+    }
+}
+
+/// Parts of earlier releases remain in stores that free nothing themselves.
+/// Gateways of these releases may still use them.
+TEST_F(
+    swept_parts_fixture, legacy_parts_are_freed_with_the_weights_of_their_model)
+{
+    const model_id dotted{"m.5"};
+    const auto legacy = part(serving::cache_salt{"w2.m.5"});
+    const auto legacy_scoped = part(serving::cache_salt{"w2.m.i.workspace"});
+    hold(legacy, dotted);
+    hold(legacy_scoped, model);
+    EXPECT_EQ(parts_before(model, 9), std::vector{legacy_scoped});
+    EXPECT_EQ(parts_before(dotted, 9), std::vector{legacy});
+    EXPECT_TRUE(parts_before(dotted, 2).empty());
+}
+
+TEST_F(
+    swept_parts_fixture, incomplete_legacy_part_of_an_ambiguous_model_is_left)
+{
+    content_.incomplete = {
+        part(serving::cache_salt{"w1.m.5"}), part(serving::cache_salt{"w1.m"})};
+    EXPECT_EQ(
+        parts_before(model, 9), std::vector{part(serving::cache_salt{"w1.m"})});
+    EXPECT_TRUE(parts_before(model_id{"m.5"}, 9).empty());
 }
 
 } // namespace
--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -4,6 +4,7 @@
 #include "core/overloaded.hpp"
 #include "platform/request_codec.hpp"
 #include "routing/rendezvous.hpp"
+#include "serving/cache_salt.hpp"
 #include "serving/cache_timing.hpp"
 
 #include <algorithm>
@@ -147,7 +148,8 @@
             request.workspace != nullptr ? request.workspace->id
                                          : workspace_id{}),
         request.data_centres);
-    auto salt = serving::make_cache_salt(prompt.model, *weights, scope);
+    auto salt = serving::make_cache_salt(
+        {.model = prompt.model, .version = *weights, .scope = scope});
     if (!can_fetch_cached_parts(state, prompt.model, *weights, now))
     {
         return {
--- a/src/serving/cache_view.cpp
+++ b/src/serving/cache_view.cpp
@@ -5,17 +5,13 @@
 #include "serving/cache_timing.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
-#include <string_view>
 
 namespace wagtailseam::serving
 {
 namespace
 {
 
-constexpr std::string_view salt_prefix = "w";
-constexpr char salt_separator = '.';
 /// Number of recorded saves from which old ones are evicted.
 constexpr std::size_t max_recorded_saves = 4096;
 /// Number of parts with counted uses from which old ones are evicted.
@@ -396,71 +392,4 @@
     return sum;
 }
 
-cache_salt make_cache_salt(
-    const model_id& model, weight_version version, const cache_scope& scope)
-{
-    std::string text(salt_prefix);
-    text += std::to_string(version.value());
-    text += salt_separator;
-    text += model.value();
-    if (!scope.value().empty())
-    {
-        text += salt_separator;
-        text += scope.value();
-    }
-    return cache_salt{std::move(text)};
-}
-
-namespace
-{
-
-/// Returns the version, the model and, if present, the scope of a salt;
-/// empty if make_cache_salt did not create it.
-std::vector<std::string_view> salt_fields(const cache_salt& salt)
-{
-    std::vector<std::string_view> fields;
-    std::string_view rest = salt.value();
-    if (!rest.starts_with(salt_prefix))
-    {
-        return fields;
-    }
-    rest.remove_prefix(salt_prefix.size());
-    for (auto separator = rest.find(salt_separator);
-         separator != std::string_view::npos;
-         separator = rest.find(salt_separator))
-    {
-        fields.push_back(rest.substr(0, separator));
-        rest.remove_prefix(separator + 1);
-    }
-    fields.push_back(rest);
-    return fields;
-}
-
-} // namespace
-
-std::optional<model_id> model_from_salt(const cache_salt& salt)
-{
-    const auto fields = salt_fields(salt);
-    return fields.size() < 2 ? std::nullopt
-                             : std::optional(model_id{std::string(fields[1])});
-}
-
-std::optional<weight_version> version_from_salt(const cache_salt& salt)
-{
-    const auto fields = salt_fields(salt);
-    if (fields.size() < 2)
-    {
-        return std::nullopt;
-    }
-    std::uint64_t version = 0;
-    const auto* const end = fields[0].data() + fields[0].size();
-    const auto [parsed_to, error] =
-        std::from_chars(fields[0].data(), end, version);
-    if (error != std::errc{} || parsed_to != end)
-    {
-        return std::nullopt;
-    }
-    return weight_version{version};
-}
-
 } // namespace wagtailseam::serving
--- a/src/serving/cache_view.hpp
+++ b/src/serving/cache_view.hpp
@@ -40,6 +40,15 @@
     std::uint64_t number = 0;
 };
 
+/// A part that a store holds completely.
+struct held_part
+{
+    part_key key;
+    token_count tokens;
+    /// The model that computed the part, if the store reports one.
+    std::optional<model_id> model;
+};
+
 /// A store's answer to a poll for changes, received directly or through an
 /// agent.
 struct cache_changes
@@ -61,7 +70,7 @@
 {
     store_epoch epoch;
     std::uint64_t next_cursor = 0;
-    std::vector<cache_change> complete;
+    std::vector<held_part> complete;
     /// Parts whose write is in progress or was aborted.
     std::vector<part_key> incomplete;
 };
@@ -226,20 +235,6 @@
     std::map<part_key, mono_time> saves_;
 };
 
-/// Returns the salt of a prompt's parts: it names the weights that compute the
-/// cache, and who shares it.
-[[nodiscard]] cache_salt make_cache_salt(
-    const model_id& model, weight_version version, const cache_scope& scope);
-
-/// Returns the model that a salt names, nothing if make_cache_salt did not
-/// create it.
-[[nodiscard]] std::optional<model_id> model_from_salt(const cache_salt& salt);
-
-/// Returns the weight version that a salt names, nothing if make_cache_salt
-/// did not create it.
-[[nodiscard]] std::optional<weight_version> version_from_salt(
-    const cache_salt& salt);
-
 } // namespace wagtailseam::serving
 
 #endif
--- a/src/serving/test/allowed_regions_test.cpp
+++ b/src/serving/test/allowed_regions_test.cpp
@@ -1,4 +1,5 @@
 // Routes and workspaces whose requests only some regions may process.
+#include "serving/cache_salt.hpp"
 #include "serving/cache_view.hpp"
 #include "serving/configuration.hpp"
 #include "serving/load_balancer.hpp"
@@ -205,10 +206,8 @@
     EXPECT_NE(restricted, scope);
     EXPECT_EQ(restrict_scope(scope, std::set{south_1}), restricted);
     EXPECT_NE(restrict_scope(scope, std::set{north_1}), restricted);
-    const auto salt =
-        make_cache_salt(model_id{"m"}, weight_version{7}, restricted);
-    EXPECT_EQ(model_from_salt(salt), model_id{"m"});
-    EXPECT_EQ(version_from_salt(salt), weight_version{7});
+    const cache_namespace fields{model_id{"m"}, weight_version{7}, restricted};
+    EXPECT_EQ(parse_cache_salt(make_cache_salt(fields)), fields);
 }
 
 } // namespace
--- a/src/serving/test/cache_view_test.cpp
+++ b/src/serving/test/cache_view_test.cpp
@@ -455,24 +455,5 @@
     }
 }
 
-TEST(cache_salt, contains_weight_version_and_scope)
-{
-    const model_id model{"m"};
-    const cache_scope shared_scope;
-    const cache_scope isolated_scope{"i.w"};
-    const auto shared = make_cache_salt(model, weight_version{3}, shared_scope);
-    EXPECT_EQ(version_from_salt(shared), weight_version{3});
-    EXPECT_EQ(model_from_salt(shared), model);
-    EXPECT_NE(shared, make_cache_salt(model, weight_version{4}, shared_scope));
-    EXPECT_NE(
-        shared, make_cache_salt(model, weight_version{3}, isolated_scope));
-    EXPECT_EQ(
-        version_from_salt(
-            make_cache_salt(model, weight_version{3}, isolated_scope)),
-        weight_version{3});
-    EXPECT_FALSE(version_from_salt(cache_salt{"foreign"}));
-    EXPECT_FALSE(version_from_salt(cache_salt{"wx.m"}));
-}
-
 } // namespace
 } // namespace wagtailseam::serving
