Cache: a random salt where the weights are not known

The salt of a request whose weights are not known was its request id, a text of the caller's: an id that equals the salt of weights would have put parts of unknown weights, or of another scope, among them (STALE, WALL). A random salt equals none: its prefix is no salt's of weights.

--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -136,10 +136,9 @@
     const auto now = monotonic_clock::now();
     if (!weights)
     {
-        // An unknown weight version rules out cache sharing, so the salt is
-        // unique to the request.
+        // An unknown weight version rules out cache sharing.
         return {
-            .salt = serving::cache_salt{request.call.id.value()},
+            .salt = serving::make_unshared_salt(state.random),
             .prefill_tokens = total_tokens(prompt)};
     }
     // A workspace may have become isolated since the request was accepted.
--- a/src/serving/cache_salt.cpp
+++ b/src/serving/cache_salt.cpp
@@ -4,6 +4,7 @@
 #include "serving/cache_salt.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cstdint>
 #include <string>
@@ -22,6 +23,7 @@
 constexpr unsigned hex_base = 16;
 constexpr std::string_view shared_prefix = "w";
 constexpr std::string_view namespace_prefix = "n";
+constexpr std::string_view unshared_prefix = "u";
 
 /// Returns whether a character stands for itself in a field.
 bool is_plain(char character)
@@ -193,4 +195,19 @@
                                                        : std::nullopt;
 }
 
+cache_salt make_unshared_salt(random_source& random)
+{
+    std::string text(unshared_prefix);
+    text += separator;
+    for (const auto bits : {random.bits(), random.bits()})
+    {
+        std::array<char, 2 * sizeof(bits)> digits{};
+        const auto end = std::to_chars(
+            digits.data(), digits.data() + digits.size(), bits, hex_base);
+        text.append(digits.data(), end.ptr);
+        text += separator;
+    }
+    return cache_salt{std::move(text)};
+}
+
 } // namespace wagtailseam::serving
--- a/src/serving/cache_salt.hpp
+++ b/src/serving/cache_salt.hpp
@@ -4,6 +4,7 @@
 #define WAGTAILSEAM_SERVING_CACHE_SALT_HPP
 
 #include "core/ids.hpp"
+#include "core/random_source.hpp"
 #include "serving/ids.hpp"
 
 #include <optional>
@@ -41,6 +42,10 @@
 [[nodiscard]] std::optional<weight_version> version_from_legacy_salt(
     const cache_salt& salt, const model_id& model);
 
+/// Returns a salt that no other request uses, for a request whose parts must
+/// not be shared.
+[[nodiscard]] cache_salt make_unshared_salt(random_source& random);
+
 } // namespace wagtailseam::serving
 
 #endif
--- a/src/serving/test/cache_salt_test.cpp
+++ b/src/serving/test/cache_salt_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <set>
 #include <string>
 
 namespace wagtailseam::serving
@@ -120,5 +121,20 @@
         fields.version);
 }
 
+/// A request id is the caller's, and may look like the salt of weights.
+TEST(unshared_salt, is_used_once_and_names_no_weights)
+{
+    random_source random(1);
+    std::set<cache_salt> salts;
+    constexpr std::size_t count = 1000;
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        const auto salt = make_unshared_salt(random);
+        EXPECT_FALSE(parse_cache_salt(salt));
+        salts.insert(salt);
+    }
+    EXPECT_EQ(salts.size(), count);
+}
+
 } // namespace
 } // namespace wagtailseam::serving
