Streams: resume them at a service of their own path

Callers' streams went on at the old service of their path seconds after a configuration had given it to another one.

Cause: the service came from where the stream had begun; the configuration in force was asked only for a route of the same host and prefix that this gateway had seen change within 20 s. A longer prefix, a removed prefix, a restart and a `Resumes` that names a stream of another route all passed by that. The streams' need of a record was decided by the same key, so a stream from before a longer prefix was also taken for one of the new service.

Ruled out: a late read of the configuration (a new request went to the new service at the same moment); the record (the stream was the gateway's own).

A resumption goes to a service of the route of its own path in the configuration in force. Where it began only chooses among these. If none can continue it, the gateway reads whether there is a newer configuration, since others may have applied it before they began the stream, and then refuses. The history of services is kept by path. So nothing that a restart forgets, or that a caller names, adds a service.

--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -101,13 +101,21 @@
     /// Returns whether another upstream can continue the response. The gateway
     /// forwards only complete events of a stream.
     [[nodiscard]] bool is_resumable_stream() const;
+    [[nodiscard]] stream_origin::stream_target target_of_stream() const;
     /// Returns whether the caller resumes a stream that broke off.
     [[nodiscard]] bool is_resumption() const;
-    /// Finds the software version that began the stream. Otherwise sets the
-    /// result code.
+    /// Finds the software version that began the stream, and the service that
+    /// continues it. Otherwise sets the result code.
     asio::awaitable<bool> find_stream_origin();
-    /// Returns the service that may continue a stream of a known version;
-    /// nullopt if the route was moved and no service of it has that version.
+    /// Chooses a service of the request's route, since what began the stream
+    /// may no longer be allowed there or may be of another route. Applies a
+    /// newer configuration if there is one and the request needs it. Sets the
+    /// result code if no service may continue the stream.
+    asio::awaitable<bool> choose_continuing_service(
+        stream_origin::origin begun_by);
+    /// Returns the service that began the stream if the route has it, or else
+    /// one of the route's that serves the stream's version; nullopt if none
+    /// does.
     [[nodiscard]] std::optional<serving::service_id> find_continuing_service(
         const stream_origin::origin& begun_by) const;
     /// Returns the request that brought the stream's first event.
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -441,7 +441,13 @@
         record_.code = result_code::outcome_unknown;
     }
     const bool never_executed = record_.executions == 0;
-    const unsigned status = never_executed ? 503 : http_status_of(record_.code);
+    unsigned status = http_status_of(record_.code);
+    // Callers repeat what was not executed, unless the request is at fault.
+    constexpr unsigned first_server_error = 500;
+    if (never_executed && status >= first_server_error)
+    {
+        status = 503;
+    }
     co_await send_local_response(
         status, record_.code,
         never_executed ? retry_delay() : duration::zero());
--- a/src/gateway/request_handler_streams.cpp
+++ b/src/gateway/request_handler_streams.cpp
@@ -30,6 +30,13 @@
            event_splitter_.is_resumable();
 }
 
+stream_origin::stream_target request_handler::target_of_stream() const
+{
+    return {
+        .host = request_.call.host,
+        .path = std::string(request_.call.message.path())};
+}
+
 bool request_handler::is_resumption() const
 {
     return request_.route->is_resumable_stream() &&
@@ -54,8 +61,9 @@
     }
     else if (!own)
     {
-        auto recorded = co_await state_.streams.look_up_records(
-            stream_id(), *request_.route);
+        const auto target = target_of_stream();
+        auto recorded =
+            co_await state_.streams.look_up_records(stream_id(), target);
         found = std::move(recorded);
     }
     const auto* const known = std::get_if<origin_known>(&found);
@@ -85,14 +93,47 @@
         record_.code = result_code::stream_origin_unknown;
         co_return false;
     }
-    const auto service = find_continuing_service(known->begun_by);
+    const bool may_continue =
+        co_await choose_continuing_service(known->begun_by);
+    co_return may_continue;
+}
+
+asio::awaitable<bool> request_handler::choose_continuing_service(
+    stream_origin::origin begun_by)
+{
+    auto service = find_continuing_service(begun_by);
+    if (!service)
+    {
+        // Another gateway may have applied a newer configuration before it
+        // began the stream.
+        co_await state_.confirm_configuration();
+        if (state_.routes != request_.routes)
+        {
+            request_.routes = state_.routes;
+            if (const auto resolved = resolve_route(); !resolved)
+            {
+                record_.code = resolved.error().code;
+                co_return false;
+            }
+            if (!is_resumption())
+            {
+                co_return true;
+            }
+            service = find_continuing_service(begun_by);
+        }
+    }
+    telemetry::event("stream_continuation")
+        .with("request", request_.call.id)
+        .with("configuration", request_.routes->config().number)
+        .with("begun_by", begun_by.service)
+        .with("service", service ? service->value() : "none");
     if (!service)
     {
         record_.code = result_code::software_version_gone;
         co_return false;
     }
-    stream_origin_ = stream_origin::origin{
-        .service = *service, .version = known->begun_by.version};
+    stream_origin_ =
+        stream_origin::origin{.service = *service, .version = begun_by.version};
     request_.service = *service;
     co_return true;
 }
@@ -100,28 +141,19 @@
 std::optional<serving::service_id> request_handler::find_continuing_service(
     const stream_origin::origin& begun_by) const
 {
-    const auto now = monotonic_clock::now();
-    const auto& services = request_.route->services;
-    const bool is_routed = std::any_of(
-        services.begin(), services.end(),
-        [&](const auto& share) { return share.service == begun_by.service; });
-    // A configuration that this gateway has not read yet may have allowed the
-    // service.
-    if (is_routed || !state_.streams.routes.is_replaced(
-                         *request_.route, begun_by.service, now))
+    const auto routed = stream_origin::services_of(*request_.route);
+    if (routed.contains(begun_by.service))
     {
         return begun_by.service;
     }
     const auto same_version = std::find_if(
-        services.begin(), services.end(),
-        [&](const auto& share)
-        {
+        routed.begin(), routed.end(),
+        [&, now = monotonic_clock::now()](const auto& service) {
             return state_.upstreams.serves_version(
-                share.service, *begun_by.version, now);
+                service, *begun_by.version, now);
         });
-    return same_version == services.end()
-               ? std::nullopt
-               : std::optional(same_version->service);
+    return same_version == routed.end() ? std::nullopt
+                                        : std::optional(*same_version);
 }
 
 bool request_handler::may_continue_stream() const
@@ -181,7 +213,7 @@
     auto& streams = state_.streams;
     const stream_origin::origin unknown{.service = target.entry.service};
     (void)streams.begin(
-        stream_id(), unknown, *request_.route, monotonic_clock::now());
+        stream_id(), unknown, target_of_stream(), monotonic_clock::now());
     // Other gateways would take a stream without a record for one of the single
     // version.
     const bool recorded =
@@ -211,7 +243,8 @@
     }
     auto& streams = state_.streams;
     const bool needs_record = streams.begin(
-        stream_id(), *stream_origin_, *request_.route, monotonic_clock::now());
+        stream_id(), *stream_origin_, target_of_stream(),
+        monotonic_clock::now());
     if (needs_record)
     {
         // A stream whose version is known is not held back while the store does
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -43,6 +43,11 @@
     /// Null before the first configuration. The configuration number never
     /// decreases.
     std::shared_ptr<const serving::route_table> routes;
+    /// Reads whether there is a newer configuration, and returns once it is in
+    /// force, at the latest after a time limit and at once while the store is
+    /// away.
+    std::function<boost::asio::awaitable<void>()> confirm_configuration =
+        []() -> boost::asio::awaitable<void> { co_return; };
     /// Weight versions that the operator announced, by model.
     std::map<model_id, serving::weight_announcements> weight_announcements;
     serving::load_balancer upstreams;
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -112,12 +112,16 @@
                [this](auto rows, auto scope)
            {
                apply_evacuations(rows, scope);
+               configuration_check_.record_delivery();
                asio::co_spawn(
-                   context_, apply_operator_rows(std::move(rows)),
+                   context_,
+                   apply_operator_rows(
+                       std::move(rows), operator_table_.delivered_read_began()),
                    asio::detached);
            },
            .poll_timeout =
                state.settings.bounds.resync_deadline - operator_poll_margin}),
+      configuration_check_(context, operator_table_),
       upstream_table_(
           context, row_store_,
           {.table = platform::upstream_table,
@@ -166,6 +170,8 @@
                      std::to_string(state_.settings.first_internal_port)}}),
         asio::detached);
     asio::co_spawn(context_, receive_datagrams(), asio::detached);
+    state_.confirm_configuration = [this]
+    { return configuration_check_.confirm(); };
     state_.refresh_upstream_list = [this] { upstream_table_.refresh(); };
     state_.on_pending_prefill_changed = [this](const auto& id)
     { send_prefill_report(id); };
@@ -370,7 +376,8 @@
     co_await timer.async_wait(completion);
 }
 
-asio::awaitable<void> state_updater::apply_operator_rows(platform::row_set rows)
+asio::awaitable<void> state_updater::apply_operator_rows(
+    platform::row_set rows, mono_time read_began)
 {
     const auto begun = monotonic_clock::now();
     state_.operator_table_read_at = begun;
@@ -390,6 +397,7 @@
                 { apply_weight_target(target, at_startup); }},
             change);
     }
+    configuration_check_.record_application(read_began);
 }
 
 void state_updater::apply_evacuations(
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -3,6 +3,7 @@
 #ifndef WAGTAILSEAM_GATEWAY_STATE_UPDATER_HPP
 #define WAGTAILSEAM_GATEWAY_STATE_UPDATER_HPP
 
+#include "gateway/configuration_check.hpp"
 #include "gateway/peer_directory.hpp"
 #include "gateway/presence_sync.hpp"
 #include "gateway/quarantine_sync.hpp"
@@ -71,7 +72,9 @@
     asio::awaitable<void> sleep_for(duration time);
 
     /// Decodes large rows on the worker's thread.
-    asio::awaitable<void> apply_operator_rows(platform::row_set rows);
+    /// @param read_began when the read of the rows began
+    asio::awaitable<void> apply_operator_rows(
+        platform::row_set rows, mono_time read_began);
     void apply_evacuations(
         const platform::row_set& rows, platform::row_scope scope);
     struct cold_entry
@@ -120,6 +123,7 @@
     std::function<void()> on_new_configuration_;
     platform::row_store_client row_store_;
     platform::table_watcher operator_table_;
+    configuration_check configuration_check_;
     platform::table_watcher upstream_table_;
     asio::ip::udp::socket agent_socket_;
     peer_directory peers_;
--- a/src/gateway/stream_origin_sync.cpp
+++ b/src/gateway/stream_origin_sync.cpp
@@ -64,8 +64,8 @@
 void stream_origin_sync::start()
 {
     state_.streams.look_up_records =
-        [this](const request_id& stream, const serving::route& route)
-    { return look_up(stream, route); };
+        [this](const request_id& stream, const auto& target)
+    { return look_up(stream, target); };
     state_.streams.wait_until_recorded = [this](std::uint64_t addition)
     { return wait_until_recorded(addition); };
     row_store_.on_restored(
@@ -89,8 +89,8 @@
     auto& streams = state_.streams;
     streams.routes.set(routes, now);
     const bool any_new = streams.open.mark_recorded(
-        [&](const auto& route, const auto& begun_by)
-        { return streams.routes.needs_record(route, begun_by.service, now); });
+        [&](const auto& target, const auto& begun_by)
+        { return streams.routes.needs_record(target, begun_by.service, now); });
     if (any_new)
     {
         telemetry::event("stream_record_due").with("cause", "routes");
@@ -111,16 +111,16 @@
 }
 
 asio::awaitable<origin_lookup> stream_origin_sync::look_up(
-    request_id stream, serving::route route)
+    request_id stream, stream_origin::stream_target target)
 {
     const auto read = co_await wait_for_read();
-    auto found = find_origin(*read, stream, route);
+    auto found = find_origin(*read, stream, target);
     co_return found;
 }
 
 origin_lookup stream_origin_sync::find_origin(
     const pending_read& read, const request_id& stream,
-    const serving::route& route) const
+    const stream_origin::stream_target& target) const
 {
     if (!read.rows)
     {
@@ -134,15 +134,15 @@
                    ? origin_lookup(origin_known{record->second, "record"})
                    : origin_unknown{};
     }
-    return find_unrecorded_origin(rows.regimes, route);
+    return find_unrecorded_origin(rows.regimes, target);
 }
 
 origin_lookup stream_origin_sync::find_unrecorded_origin(
-    const regime_map& regimes, const serving::route& route) const
+    const regime_map& regimes, const stream_origin::stream_target& target) const
 {
     std::optional<stream_origin::origin> found;
     for (const auto& service :
-         state_.streams.routes.candidates(route, monotonic_clock::now()))
+         state_.streams.routes.candidates(target, monotonic_clock::now()))
     {
         const auto regime = regimes.find(service);
         const auto* const single =
--- a/src/gateway/stream_origin_sync.hpp
+++ b/src/gateway/stream_origin_sync.hpp
@@ -43,7 +43,7 @@
     void start();
 
     /// Applies the routes of a configuration. Records the open streams of
-    /// routes whose services changed.
+    /// paths whose services changed.
     void apply_routes(const std::vector<serving::route>& routes);
 
 private:
@@ -71,14 +71,15 @@
     };
 
     asio::awaitable<origin_lookup> look_up(
-        request_id stream, serving::route route);
+        request_id stream, stream_origin::stream_target target);
     [[nodiscard]] origin_lookup find_origin(
         const pending_read& read, const request_id& stream,
-        const serving::route& route) const;
+        const stream_origin::stream_target& target) const;
     /// Returns the origin of a stream without a record, if all services that
     /// may have begun it have the same single version.
     [[nodiscard]] origin_lookup find_unrecorded_origin(
-        const regime_map& regimes, const serving::route& route) const;
+        const regime_map& regimes,
+        const stream_origin::stream_target& target) const;
     /// Returns a read that began after the call.
     asio::awaitable<std::shared_ptr<const pending_read>> wait_for_read();
     asio::awaitable<void> run_reads();
--- a/src/gateway/stream_origins.cpp
+++ b/src/gateway/stream_origins.cpp
@@ -13,11 +13,11 @@
 
 bool stream_origins::begin(
     const request_id& stream, const stream_origin::origin& begun_by,
-    const serving::route& route, mono_time now)
+    const stream_origin::stream_target& target, mono_time now)
 {
-    const auto key = stream_origin::key_of(route);
-    const bool is_recorded = routes.needs_record(key, begun_by.service, now);
-    open.begin(stream, begun_by, key, is_recorded);
+    const bool is_recorded = open.begin(
+        stream, begun_by, target,
+        routes.needs_record(target, begun_by.service, now));
     return is_recorded || needs_record(begun_by);
 }
 
--- a/src/gateway/stream_origins.hpp
+++ b/src/gateway/stream_origins.hpp
@@ -52,14 +52,14 @@
 {
     /// The streams of this gateway.
     stream_origin::open_streams open;
-    /// The services of the routes of resumable streams.
+    /// The services of resumable streams by path.
     stream_origin::route_services routes;
     /// Regimes of the services to which resumable streams are routed.
     std::map<serving::service_id, stream_origin::regime_tracker> regimes;
     /// Reads the records of all gateways and finds the origin of a stream that
     /// is not among those of this one.
     std::function<boost::asio::awaitable<origin_lookup>(
-        const request_id& stream, const serving::route& route)>
+        const request_id& stream, const stream_origin::stream_target& target)>
         look_up_records =
             [](const auto&,
                const auto&) -> boost::asio::awaitable<origin_lookup>
@@ -79,7 +79,7 @@
     /// @return whether other gateways find it only in the record
     bool begin(
         const request_id& stream, const stream_origin::origin& begun_by,
-        const serving::route& route, mono_time now);
+        const stream_origin::stream_target& target, mono_time now);
     /// Returns the version at which new streams of a service begin while one of
     /// its upstreams is available; nullopt: any.
     [[nodiscard]] std::optional<serving::software_version> begins_at(
--- a/src/stream_origin/open_streams.cpp
+++ b/src/stream_origin/open_streams.cpp
@@ -103,11 +103,16 @@
 {
 }
 
-void open_streams::begin(
-    const request_id& id, const origin& begun_by, const route_key& route,
-    bool is_recorded)
-{
-    add(id, {.begun_by = begun_by, .route = route, .is_recorded = is_recorded});
+bool open_streams::begin(
+    const request_id& id, const origin& begun_by, const stream_target& target,
+    bool needs_record)
+{
+    const bool is_kept = target.path.size() <= options_.max_path_bytes;
+    const bool is_recorded = needs_record || !is_kept;
+    add(id, {.begun_by = begun_by,
+             .target = is_kept ? target : stream_target{},
+             .is_recorded = is_recorded});
+    return is_recorded;
 }
 
 void open_streams::complete(const request_id& id)
@@ -185,12 +190,13 @@
 }
 
 bool open_streams::mark_recorded(
-    const std::function<bool(const route_key&, const origin&)>& needs_record)
+    const std::function<bool(const stream_target&, const origin&)>&
+        needs_record)
 {
     bool any_new = false;
     for (auto& [id, entry] : streams_)
     {
-        if (!entry.is_recorded && needs_record(entry.route, entry.begun_by))
+        if (!entry.is_recorded && needs_record(entry.target, entry.begun_by))
         {
             entry.is_recorded = true;
             any_new = true;
--- a/src/stream_origin/open_streams.hpp
+++ b/src/stream_origin/open_streams.hpp
@@ -36,6 +36,8 @@
     duration retention = std::chrono::seconds(20);
     /// Limits the memory, and the encoded size to 64 KB in base64.
     std::size_t max_streams = 1500;
+    /// Longer paths are not kept.
+    std::size_t max_path_bytes = 256;
 };
 
 /// Not thread-safe. Complexity: constant on average, unless stated otherwise.
@@ -46,12 +48,13 @@
 
     /// Adds a stream when its first event is forwarded.
     /// @param id the request that brought the stream's first event
-    /// @param route the route of that request
-    /// @param is_recorded whether it belongs into the record whatever its
-    /// origin
-    void begin(
-        const request_id& id, const origin& begun_by, const route_key& route,
-        bool is_recorded);
+    /// @param target that of the request
+    /// @param needs_record whether it belongs into the record whatever its
+    /// origin. One with a long path always does.
+    /// @return whether it belongs into the record whatever its origin
+    bool begin(
+        const request_id& id, const origin& begun_by,
+        const stream_target& target, bool needs_record);
     /// Removes a stream whose last event was forwarded.
     void complete(const request_id& id);
     /// Keeps a stream that broke off for the retention time.
@@ -73,7 +76,7 @@
     /// Adds streams to those that belong into the record.
     /// @return whether there are new ones. Complexity: linear.
     bool mark_recorded(
-        const std::function<bool(const route_key&, const origin&)>&
+        const std::function<bool(const stream_target&, const origin&)>&
             needs_record);
     /// Returns a number that changes with each stream that is added.
     [[nodiscard]] std::uint64_t additions() const noexcept
@@ -86,9 +89,11 @@
     struct stream
     {
         origin begun_by;
-        /// Empty if a previous incarnation of this gateway forwarded it.
-        route_key route;
+        /// Empty if the path is long, or if a previous incarnation of this
+        /// gateway forwarded the stream.
+        stream_target target;
         /// Whether it belongs into the record whatever its origin.
+        /// @invariant true if the target is empty
         bool is_recorded = false;
         /// Position in order_.
         std::uint64_t number = 0;
--- a/src/stream_origin/route_services.cpp
+++ b/src/stream_origin/route_services.cpp
@@ -1,4 +1,4 @@
-// History of the services of each route.
+// History of the services of each path.
 #include "stream_origin/route_services.hpp"
 
 #include <algorithm>
@@ -6,113 +6,110 @@
 
 namespace wagtailseam::stream_origin
 {
-namespace
-{
 
-std::set<serving::service_id> services_of(const serving::route& route)
+service_set services_of(const serving::route& route)
 {
-    std::set<serving::service_id> services;
+    service_set services;
     for (const auto& share : route.services)
     {
-        services.insert(share.service);
+        if (share.weight > 0)
+        {
+            services.insert(share.service);
+        }
     }
     return services;
 }
 
-} // namespace
+route_services::route_map route_services::make_map(
+    const std::vector<serving::route>& routes)
+{
+    route_map map;
+    for (const auto& route : routes)
+    {
+        map[route.host].push_back(
+            {.prefix = route.path_prefix,
+             .services = route.is_resumable_stream() ? services_of(route)
+                                                     : service_set{}});
+    }
+    for (auto& [host, prefixes] : map)
+    {
+        std::sort(
+            prefixes.begin(), prefixes.end(),
+            [](const routed_prefix& left, const routed_prefix& right)
+            {
+                return std::pair(right.prefix.size(), left.prefix) <
+                       std::pair(left.prefix.size(), right.prefix);
+            });
+    }
+    return map;
+}
 
-route_key key_of(const serving::route& route)
+service_set route_services::find(
+    const route_map& routes, const stream_target& target)
 {
-    return route_key{route.host + route.path_prefix};
+    const auto host = routes.find(target.host);
+    if (host == routes.end())
+    {
+        return {};
+    }
+    const auto& prefixes = host->second;
+    const auto found = std::find_if(
+        prefixes.begin(), prefixes.end(),
+        [&](const routed_prefix& routed)
+        { return target.path.starts_with(routed.prefix); });
+    return found == prefixes.end() ? service_set{} : found->services;
 }
 
 void route_services::set(
     const std::vector<serving::route>& routes, mono_time now)
 {
-    std::map<route_key, service_set> next;
-    for (const auto& route : routes)
+    auto next = make_map(routes);
+    if (next != current_ && !current_.empty())
     {
-        if (route.is_resumable_stream())
-        {
-            next.insert_or_assign(key_of(route), services_of(route));
-        }
-    }
-    for (const auto& [key, services] : next)
-    {
-        routes_[key];
-    }
-    for (auto& [key, known] : routes_)
-    {
-        const auto found = next.find(key);
-        auto services = found == next.end() ? service_set{} : found->second;
-        if (services != known.current && !known.current.empty())
-        {
-            known.earlier.push_back({known.current, now});
-        }
-        known.current = std::move(services);
-        std::erase_if(
-            known.earlier, [&](const replaced_services& earlier)
-            { return !is_recent(earlier, now); });
+        replaced_.push_back({std::move(current_), now});
     }
+    current_ = std::move(next);
     std::erase_if(
-        routes_,
-        [](const auto& route) {
-            return route.second.current.empty() && route.second.earlier.empty();
-        });
+        replaced_, [&](const replaced_routes& replaced)
+        { return !is_recent(replaced, now); });
 }
 
 bool route_services::needs_record(
-    const route_key& route, const serving::service_id& begun_by,
+    const stream_target& target, const serving::service_id& begun_by,
     mono_time now) const
 {
-    const auto found = routes_.find(route);
-    if (found == routes_.end())
+    const service_set only{begun_by};
+    // A configuration without a service for the path began no streams there.
+    const auto began_elsewhere = [&](const replaced_routes& replaced)
     {
-        return true;
-    }
-    const auto& [current, earlier] = found->second;
-    return current != service_set{begun_by} ||
-           std::any_of(
-               earlier.begin(), earlier.end(),
-               [&](const replaced_services& services)
-               { return is_recent(services, now); });
+        const auto services = find(replaced.routes, target);
+        return is_recent(replaced, now) && !services.empty() &&
+               services != only;
+    };
+    return find(current_, target) != only ||
+           std::any_of(replaced_.begin(), replaced_.end(), began_elsewhere);
 }
 
-std::set<serving::service_id> route_services::candidates(
-    const serving::route& route, mono_time now) const
+service_set route_services::candidates(
+    const stream_target& target, mono_time now) const
 {
-    const auto current = services_of(route);
+    const auto current = find(current_, target);
     service_set single;
     if (current.size() == 1)
     {
         single = current;
     }
-    const auto found = routes_.find(key_of(route));
-    if (found != routes_.end())
+    for (const auto& replaced : replaced_)
     {
-        for (const auto& earlier : found->second.earlier)
+        const auto services = is_recent(replaced, now)
+                                  ? find(replaced.routes, target)
+                                  : service_set{};
+        if (services.size() == 1)
         {
-            if (earlier.services.size() == 1 && is_recent(earlier, now))
-            {
-                single.insert(*earlier.services.begin());
-            }
+            single.insert(*services.begin());
         }
     }
     return single.empty() ? current : single;
 }
 
-bool route_services::is_replaced(
-    const serving::route& route, const serving::service_id& service,
-    mono_time now) const
-{
-    const auto found = routes_.find(key_of(route));
-    return found != routes_.end() && !found->second.current.contains(service) &&
-           std::any_of(
-               found->second.earlier.begin(), found->second.earlier.end(),
-               [&](const replaced_services& earlier) {
-                   return is_recent(earlier, now) &&
-                          earlier.services.contains(service);
-               });
-}
-
 } // namespace wagtailseam::stream_origin
--- a/src/stream_origin/route_services.hpp
+++ b/src/stream_origin/route_services.hpp
@@ -1,23 +1,35 @@
-// Which services may have begun the streams of a route, when routes are split
-// or moved while their streams run.
+// Which services may have begun the streams of a path, when routes are added,
+// removed, split or moved while their streams run.
 #ifndef WAGTAILSEAM_STREAM_ORIGIN_ROUTE_SERVICES_HPP
 #define WAGTAILSEAM_STREAM_ORIGIN_ROUTE_SERVICES_HPP
 
 #include "core/clock.hpp"
-#include "core/ids.hpp"
 #include "serving/configuration.hpp"
 
 #include <map>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace wagtailseam::stream_origin
 {
 
-/// Identifies a route across configurations: its host and path prefix.
-using route_key = strong_id<struct route_key_tag>;
+/// Where a stream was requested. The prefix of its route is no substitute: a
+/// later configuration may route a part of the prefix to other services.
+struct stream_target
+{
+    std::string host;
+    /// Without the query.
+    std::string path;
+
+    friend bool operator==(const stream_target&, const stream_target&) =
+        default;
+};
+
+using service_set = std::set<serving::service_id>;
 
-[[nodiscard]] route_key key_of(const serving::route& route);
+/// Returns the services to which a route sends requests.
+[[nodiscard]] service_set services_of(const serving::route& route);
 
 struct route_services_options
 {
@@ -28,9 +40,10 @@
 };
 
 /// A stream without a record must have begun at a service that every gateway
-/// can name. So the streams of a route are recorded while it has several
+/// can name. So the streams of a path are recorded while it has several
 /// services, and for some time after its services changed. Not thread-safe.
-/// Complexity: logarithmic in the number of routes, unless stated otherwise.
+/// Complexity: linear in the number of routes of a host, times that of the
+/// replaced configurations.
 class route_services
 {
 public:
@@ -39,47 +52,51 @@
     {
     }
 
-    /// Applies a configuration. Complexity: linear in its routes.
+    /// Applies a configuration. Complexity: linear in its routes, times their
+    /// logarithm.
     void set(const std::vector<serving::route>& routes, mono_time now);
 
     /// Returns whether a stream that the service began has to be recorded.
     [[nodiscard]] bool needs_record(
-        const route_key& route, const serving::service_id& begun_by,
+        const stream_target& target, const serving::service_id& begun_by,
         mono_time now) const;
     /// Returns the services that may have begun a stream without a record; if
-    /// such a stream should have one, all services of the route.
-    [[nodiscard]] std::set<serving::service_id> candidates(
-        const serving::route& route, mono_time now) const;
-    /// Returns whether a recent configuration allowed the service and the
-    /// current one does not.
-    [[nodiscard]] bool is_replaced(
-        const serving::route& route, const serving::service_id& service,
-        mono_time now) const;
+    /// such a stream should have one, all services of the path.
+    [[nodiscard]] service_set candidates(
+        const stream_target& target, mono_time now) const;
 
 private:
-    using service_set = std::set<serving::service_id>;
-    struct replaced_services
+    struct routed_prefix
     {
+        std::string prefix;
+        /// Empty if the route's streams cannot be resumed.
         service_set services;
-        mono_time replaced_at;
+
+        friend bool operator==(const routed_prefix&, const routed_prefix&) =
+            default;
     };
-    struct entry
+    /// The routes of a configuration by host, with the longest prefixes first.
+    using route_map = std::map<std::string, std::vector<routed_prefix>>;
+    struct replaced_routes
     {
-        service_set current;
-        /// In order of replaced_at.
-        std::vector<replaced_services> earlier;
+        route_map routes;
+        mono_time replaced_at;
     };
 
+    [[nodiscard]] static route_map make_map(
+        const std::vector<serving::route>& routes);
+    [[nodiscard]] static service_set find(
+        const route_map& routes, const stream_target& target);
     [[nodiscard]] bool is_recent(
-        const replaced_services& earlier, mono_time now) const
+        const replaced_routes& replaced, mono_time now) const
     {
-        return now - earlier.replaced_at < options_.memory;
+        return now - replaced.replaced_at < options_.memory;
     }
 
     route_services_options options_;
-    /// Routes of the current configuration, and those that it lacks until their
-    /// services are forgotten.
-    std::map<route_key, entry> routes_;
+    route_map current_;
+    /// In order of replaced_at. Consecutive ones differ.
+    std::vector<replaced_routes> replaced_;
 };
 
 } // namespace wagtailseam::stream_origin
--- a/src/stream_origin/test/open_streams_test.cpp
+++ b/src/stream_origin/test/open_streams_test.cpp
@@ -20,6 +20,7 @@
     serving::service_id{"s"}, serving::software_version{"1"}};
 const origin new_origin{
     serving::service_id{"s"}, serving::software_version{"2"}};
+const stream_target asked{.host = "h", .path = "/ask/a"};
 const request_id first{"r1"};
 const request_id second{"r2"};
 const request_id third{"r3"};
@@ -30,7 +31,7 @@
     void begin(
         const request_id& id, const origin& begun_by, bool is_recorded = false)
     {
-        streams_.begin(id, begun_by, route_key{"h/ask/"}, is_recorded);
+        streams_.begin(id, begun_by, asked, is_recorded);
     }
 
     [[nodiscard]] std::size_t recorded_count() const
@@ -52,6 +53,23 @@
     EXPECT_EQ(streams_.find(first), old_origin) << "it is still forwarded";
 }
 
+/// Paths of any length are requested, and the gateway keeps many streams.
+TEST_F(open_streams_fixture, stream_of_a_long_path_is_recorded)
+{
+    const auto begin_at = [&](std::size_t path_bytes)
+    {
+        return streams_.begin(
+            first, old_origin,
+            {.host = "h", .path = '/' + std::string(path_bytes - 1, 'a')},
+            false);
+    };
+    const auto max_path_bytes = open_streams_options{}.max_path_bytes;
+    EXPECT_FALSE(begin_at(max_path_bytes));
+    EXPECT_EQ(recorded_count(), 0U);
+    EXPECT_TRUE(begin_at(max_path_bytes + 1));
+    EXPECT_EQ(recorded_count(), 1U);
+}
+
 TEST_F(open_streams_fixture, complete_stream_is_forgotten)
 {
     begin(first, old_origin);
@@ -112,8 +130,8 @@
 TEST_F(open_streams_fixture, stream_is_marked_recorded_once)
 {
     begin(first, old_origin);
-    const auto changed = [](const route_key& route, const origin&)
-    { return route == route_key{"h/ask/"}; };
+    const auto changed = [](const stream_target& target, const origin&)
+    { return target == asked; };
     EXPECT_TRUE(streams_.mark_recorded(changed));
     EXPECT_FALSE(streams_.mark_recorded(changed));
     EXPECT_EQ(recorded_count(), 1U);
