Streams: record the routes for gateways that start after a change

Callers saw streams mixed of two software versions (ORDER): a stream without a record whose gateway was killed before its path was given to another service was taken up at a gateway that started after the change, as one of the new service.

Cause: which services may have begun a stream without a record came from the gateway's memory of replaced configurations, which a start does not have.

A gateway begins streams without a record only while the row has its own routes, so each service that began one is in the row when another gateway looks the stream up.

--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -520,7 +520,7 @@
         limit_cold(entry);
     }
     state_.upstreams.set_services(config.services);
-    stream_origin_sync_.apply_routes(config.routes);
+    stream_origin_sync_.apply_routes(config);
     on_new_configuration_();
     telemetry::event("configuration_in_force")
         .with("number", config.number)
--- a/src/gateway/stream_origin_sync.cpp
+++ b/src/gateway/stream_origin_sync.cpp
@@ -53,6 +53,8 @@
     asio::io_context& context, shared_state& state,
     platform::row_store_client& row_store)
     : context_(context), state_(state), row_store_(row_store),
+      route_record_sync_(
+          context, state, row_store, [this] { record_moved_streams(); }),
       record_changed_(context),
       record_written_(context, asio::steady_timer::time_point::max()),
       own_part_(part_name(
@@ -79,15 +81,23 @@
             }
             rewrite_record();
         });
+    route_record_sync_.start();
     asio::co_spawn(context_, write_records(), asio::detached);
     asio::co_spawn(context_, follow_regimes(), asio::detached);
 }
 
-void stream_origin_sync::apply_routes(const std::vector<serving::route>& routes)
+void stream_origin_sync::apply_routes(
+    const serving::configuration& configuration)
+{
+    state_.streams.routes.set(
+        configuration.number, configuration.routes, monotonic_clock::now());
+    record_moved_streams();
+}
+
+void stream_origin_sync::record_moved_streams()
 {
     const auto now = monotonic_clock::now();
     auto& streams = state_.streams;
-    streams.routes.set(routes, now);
     const bool any_new = streams.open.mark_recorded(
         [&](const auto& target, const auto& begun_by)
         { return streams.routes.needs_record(target, begun_by.service, now); });
@@ -229,6 +239,11 @@
             read.origins.merge(origins.value());
         }
     }
+    const auto routes = co_await route_record_sync_.read();
+    if (!routes)
+    {
+        co_return boost::outcome_v2::failure(routes.error());
+    }
     const auto regimes = co_await row_store_.read_table(version_regime_table);
     if (!regimes)
     {
--- a/src/gateway/stream_origin_sync.hpp
+++ b/src/gateway/stream_origin_sync.hpp
@@ -3,6 +3,7 @@
 #ifndef WAGTAILSEAM_GATEWAY_STREAM_ORIGIN_SYNC_HPP
 #define WAGTAILSEAM_GATEWAY_STREAM_ORIGIN_SYNC_HPP
 
+#include "gateway/route_record_sync.hpp"
 #include "gateway/shared_state.hpp"
 #include "platform/row_store_client.hpp"
 
@@ -44,7 +45,7 @@
 
     /// Applies the routes of a configuration. Records the open streams of
     /// paths whose services changed.
-    void apply_routes(const std::vector<serving::route>& routes);
+    void apply_routes(const serving::configuration& configuration);
 
 private:
     using regime_map =
@@ -90,6 +91,8 @@
     [[nodiscard]] regime_map decode_regimes(const platform::row_set& rows);
     void apply_regimes(const regime_map& read);
 
+    /// Adds the open streams of paths whose services changed to the record.
+    void record_moved_streams();
     asio::awaitable<void> write_records();
     /// Returns whether the record contains an addition to the open streams, at
     /// the latest after a time limit, or at once while it cannot be written.
@@ -118,6 +121,7 @@
     asio::io_context& context_;
     shared_state& state_;
     platform::row_store_client& row_store_;
+    route_record_sync route_record_sync_;
     /// Cancelled when a stream was added.
     asio::steady_timer record_changed_;
     /// Never expires; cancelled when the record was written.
--- a/src/stream_origin/route_services.cpp
+++ b/src/stream_origin/route_services.cpp
@@ -7,71 +7,103 @@
 namespace wagtailseam::stream_origin
 {
 
-service_set services_of(const serving::route& route)
+void route_services::set(
+    config_number number, const std::vector<serving::route>& routes,
+    mono_time now)
 {
-    service_set services;
-    for (const auto& share : route.services)
+    auto next = make_stream_routes(routes);
+    if (!number_ || next != current_)
     {
-        if (share.weight > 0)
+        is_record_read_ = false;
+        if (number_)
         {
-            services.insert(share.service);
+            earlier_.push_back({std::move(current_), now});
         }
     }
-    return services;
+    number_ = number;
+    current_ = std::move(next);
+    std::erase_if(
+        earlier_, [&](const earlier_routes& earlier)
+        { return !is_recent(earlier, now); });
 }
 
-route_services::route_map route_services::make_map(
-    const std::vector<serving::route>& routes)
+void route_services::set_record(
+    std::optional<route_record> record, store_time store_now, mono_time now)
 {
-    route_map map;
-    for (const auto& route : routes)
+    record_ = std::move(record);
+    is_record_read_ = true;
+    recorded_earlier_.clear();
+    if (!record_)
     {
-        map[route.host].push_back(
-            {.prefix = route.path_prefix,
-             .services = route.is_resumable_stream() ? services_of(route)
-                                                     : service_set{}});
+        return;
     }
-    for (auto& [host, prefixes] : map)
+    for (const auto& replaced : record_->replaced)
     {
-        std::sort(
-            prefixes.begin(), prefixes.end(),
-            [](const routed_prefix& left, const routed_prefix& right)
-            {
-                return std::pair(right.prefix.size(), left.prefix) <
-                       std::pair(left.prefix.size(), right.prefix);
-            });
+        const auto age =
+            std::max(store_time::zero(), store_now - replaced.replaced_at);
+        recorded_earlier_.push_back({replaced.routes, now - duration(age)});
     }
-    return map;
 }
 
-service_set route_services::find(
-    const route_map& routes, const stream_target& target)
+void route_services::forget_record()
 {
-    const auto host = routes.find(target.host);
-    if (host == routes.end())
+    set_record(std::nullopt, store_time{}, mono_time{});
+    is_record_read_ = false;
+}
+
+std::optional<route_record> route_services::due_record(
+    store_time store_now) const
+{
+    if (!number_ || !is_record_read_)
+    {
+        return std::nullopt;
+    }
+    if (!record_)
+    {
+        return route_record{
+            .number = *number_, .current = current_, .replaced = {}};
+    }
+    if (record_->number >= *number_ || record_->current == current_)
     {
-        return {};
+        return std::nullopt;
     }
-    const auto& prefixes = host->second;
-    const auto found = std::find_if(
-        prefixes.begin(), prefixes.end(),
-        [&](const routed_prefix& routed)
-        { return target.path.starts_with(routed.prefix); });
-    return found == prefixes.end() ? service_set{} : found->services;
+    route_record due{
+        .number = *number_, .current = current_, .replaced = record_->replaced};
+    due.replaced.push_back({record_->current, store_now});
+    std::erase_if(
+        due.replaced, [&](const replaced_routes& replaced)
+        { return store_now - replaced.replaced_at >= options_.memory; });
+    return due;
 }
 
-void route_services::set(
-    const std::vector<serving::route>& routes, mono_time now)
+std::vector<service_set> route_services::find_earlier(
+    const stream_target& target, mono_time now) const
 {
-    auto next = make_map(routes);
-    if (next != current_ && !current_.empty())
+    std::vector<service_set> found;
+    // A configuration without a service for the path began no streams there.
+    const auto add = [&](const stream_routes& routes)
     {
-        replaced_.push_back({std::move(current_), now});
+        auto services = find_services(routes, target);
+        if (!services.empty())
+        {
+            found.push_back(std::move(services));
+        }
+    };
+    for (const auto* const all : {&earlier_, &recorded_earlier_})
+    {
+        for (const auto& earlier : *all)
+        {
+            if (is_recent(earlier, now))
+            {
+                add(earlier.routes);
+            }
+        }
     }
-    current_ = std::move(next);
-    std::erase_if(
-        replaced_, [&](const replaced_routes& replaced)
-        { return !is_recent(replaced, now); });
+    if (record_)
+    {
+        add(record_->current);
+    }
+    return found;
 }
 
 bool route_services::needs_record(
@@ -79,31 +111,24 @@
     mono_time now) const
 {
     const service_set only{begun_by};
-    // A configuration without a service for the path began no streams there.
-    const auto began_elsewhere = [&](const replaced_routes& replaced)
-    {
-        const auto services = find(replaced.routes, target);
-        return is_recent(replaced, now) && !services.empty() &&
-               services != only;
-    };
-    return find(current_, target) != only ||
-           std::any_of(replaced_.begin(), replaced_.end(), began_elsewhere);
+    const bool is_recorded_route =
+        record_ && find_services(record_->current, target) == only;
+    const auto earlier = find_earlier(target, now);
+    return find_services(current_, target) != only || !is_recorded_route ||
+           std::any_of(
+               earlier.begin(), earlier.end(),
+               [&](const auto& services) { return services != only; });
 }
 
 service_set route_services::candidates(
     const stream_target& target, mono_time now) const
 {
-    const auto current = find(current_, target);
+    const auto current = find_services(current_, target);
+    auto all = find_earlier(target, now);
+    all.push_back(current);
     service_set single;
-    if (current.size() == 1)
-    {
-        single = current;
-    }
-    for (const auto& replaced : replaced_)
+    for (const auto& services : all)
     {
-        const auto services = is_recent(replaced, now)
-                                  ? find(replaced.routes, target)
-                                  : service_set{};
         if (services.size() == 1)
         {
             single.insert(*services.begin());
--- a/src/stream_origin/route_services.hpp
+++ b/src/stream_origin/route_services.hpp
@@ -4,33 +4,15 @@
 #define WAGTAILSEAM_STREAM_ORIGIN_ROUTE_SERVICES_HPP
 
 #include "core/clock.hpp"
-#include "serving/configuration.hpp"
+#include "stream_origin/route_record.hpp"
+#include "stream_origin/stream_routes.hpp"
 
-#include <map>
-#include <set>
-#include <string>
+#include <optional>
 #include <vector>
 
 namespace wagtailseam::stream_origin
 {
 
-/// Where a stream was requested. The prefix of its route is no substitute: a
-/// later configuration may route a part of the prefix to other services.
-struct stream_target
-{
-    std::string host;
-    /// Without the query.
-    std::string path;
-
-    friend bool operator==(const stream_target&, const stream_target&) =
-        default;
-};
-
-using service_set = std::set<serving::service_id>;
-
-/// Returns the services to which a route sends requests.
-[[nodiscard]] service_set services_of(const serving::route& route);
-
 struct route_services_options
 {
     /// Time for which a replaced configuration counts: callers resume a stream
@@ -40,10 +22,11 @@
 };
 
 /// A stream without a record must have begun at a service that every gateway
-/// can name. So the streams of a path are recorded while it has several
-/// services, and for some time after its services changed. Not thread-safe.
-/// Complexity: linear in the number of routes of a host, times that of the
-/// replaced configurations.
+/// can name, also one that has started since. So the streams of a path are
+/// recorded while it has several services, for some time after its services
+/// changed, and until the record of routes has the gateway's own. Not
+/// thread-safe. Complexity: linear in the number of routes of a host, times
+/// that of the replaced configurations.
 class route_services
 {
 public:
@@ -52,9 +35,27 @@
     {
     }
 
-    /// Applies a configuration. Complexity: linear in its routes, times their
-    /// logarithm.
-    void set(const std::vector<serving::route>& routes, mono_time now);
+    /// Applies a configuration.
+    void set(
+        config_number number, const std::vector<serving::route>& routes,
+        mono_time now);
+    /// Applies the record as it was read or written; nullopt if there is none.
+    /// @param store_now time of the store's clock at `now`
+    void set_record(
+        std::optional<route_record> record, store_time store_now,
+        mono_time now);
+    /// Forgets the record, since the store may have lost a part of it.
+    void forget_record();
+
+    /// Returns whether the record has to be read.
+    [[nodiscard]] bool needs_read() const
+    {
+        return number_ && !is_record_read_;
+    }
+    /// Returns the record that has to be written, if any.
+    /// @param store_now time of the store's clock, just before the write
+    [[nodiscard]] std::optional<route_record> due_record(
+        store_time store_now) const;
 
     /// Returns whether a stream that the service began has to be recorded.
     [[nodiscard]] bool needs_record(
@@ -66,37 +67,35 @@
         const stream_target& target, mono_time now) const;
 
 private:
-    struct routed_prefix
-    {
-        std::string prefix;
-        /// Empty if the route's streams cannot be resumed.
-        service_set services;
-
-        friend bool operator==(const routed_prefix&, const routed_prefix&) =
-            default;
-    };
-    /// The routes of a configuration by host, with the longest prefixes first.
-    using route_map = std::map<std::string, std::vector<routed_prefix>>;
-    struct replaced_routes
+    /// Routes that some gateway may have had in force lately.
+    struct earlier_routes
     {
-        route_map routes;
+        stream_routes routes;
         mono_time replaced_at;
     };
 
-    [[nodiscard]] static route_map make_map(
-        const std::vector<serving::route>& routes);
-    [[nodiscard]] static service_set find(
-        const route_map& routes, const stream_target& target);
     [[nodiscard]] bool is_recent(
-        const replaced_routes& replaced, mono_time now) const
+        const earlier_routes& earlier, mono_time now) const
     {
-        return now - replaced.replaced_at < options_.memory;
+        return now - earlier.replaced_at < options_.memory;
     }
+    /// Returns the sets of services that the path had lately, but for the
+    /// current ones.
+    [[nodiscard]] std::vector<service_set> find_earlier(
+        const stream_target& target, mono_time now) const;
 
     route_services_options options_;
-    route_map current_;
-    /// In order of replaced_at. Consecutive ones differ.
-    std::vector<replaced_routes> replaced_;
+    /// Of the configuration in force. Unset before the first one.
+    std::optional<config_number> number_;
+    stream_routes current_;
+    /// Routes that this gateway replaced.
+    std::vector<earlier_routes> earlier_;
+    /// As last read or written.
+    std::optional<route_record> record_;
+    /// Those of the record.
+    std::vector<earlier_routes> recorded_earlier_;
+    /// Whether the record was read since the routes in force changed.
+    bool is_record_read_ = false;
 };
 
 } // namespace wagtailseam::stream_origin
