Attempts: end with their object, whatever leaves the request

Cause: the client cannot encode such a request and threw between load_balancer::begin_attempt() and end_attempt(), so its prompt stayed pending.

An attempt is an object that ends itself. What leaves a request is caught in one place, with a response, a log line and a code (505). The client encodes before it connects, and returns an error. TRACE with a body is refused (RFC 9110, 9.3.8).

--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -163,6 +163,9 @@
     result_code_row{
         result_code::filing_in_progress, "filing_in_progress",
         "An earlier call with this key is still running; ask again later."},
+    result_code_row{
+        result_code::internal_failure, "internal_failure",
+        "The gateway failed while it handled the request."},
     result_code_row{
         result_code::frame_out_of_order, "frame_out_of_order",
         "An answer frame had an unexpected number and was dropped."},
--- a/src/core/result_code.hpp
+++ b/src/core/result_code.hpp
@@ -71,6 +71,7 @@
     upstream_lost = 502,
     deadline_passed = 503,
     filing_in_progress = 504,
+    internal_failure = 505,
 
     frame_out_of_order = 601,
     frame_of_other_attempt = 602,
--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -6,8 +6,10 @@
 #include <boost/asio/experimental/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/assert.hpp>
 
 #include <algorithm>
+#include <exception>
 
 namespace wagtailseam::gateway
 {
@@ -75,6 +77,46 @@
 }
 
 asio::awaitable<void> request_handler::serve()
+{
+    std::optional<std::string> failure;
+    try
+    {
+        co_await serve_request();
+    }
+    catch (const std::exception& exception)
+    {
+        failure = exception.what();
+    }
+    if (failure)
+    {
+        co_await end_failed_request(*failure);
+    }
+}
+
+asio::awaitable<void> request_handler::end_failed_request(std::string detail)
+{
+    telemetry::event("request_failed")
+        .with("request", request_.call.id)
+        .with("detail", detail)
+        .with("runs", record_.executions)
+        .warning();
+    cancel_attempts();
+    drop_successor();
+    for (const auto& successor : dropped_successors_)
+    {
+        co_await wait_until_decided(*successor);
+    }
+    open_attempts_.clear();
+    pending_prompt_.reset();
+    end_trial();
+    drop_trial_claims(record_.executions == 0);
+    record_.code = result_code::internal_failure;
+    co_await send_final_error();
+    record_stream_end();
+    record_request_end(state_, request_, record_);
+}
+
+asio::awaitable<void> request_handler::serve_request()
 {
     const auto accepted = accept_request();
     if (!accepted)
@@ -461,7 +503,7 @@
         .prefill_time = planned.prefill_time,
         .tokens = request_.call.prompt ? request_.call.prompt->needed_memory()
                                        : token_count{}};
-    state_.upstreams.begin_attempt(id, load);
+    open_attempts_.push_back(std::make_unique<open_attempt>(state_, id, load));
     pending_prompt_ = pending_prompt{
         .upstream = id,
         .load = load,
@@ -496,13 +538,15 @@
         return;
     }
     const auto ended_at = monotonic_clock::now();
-    state_.upstreams.finish_prefill(
-        pending_prompt_->upstream, pending_prompt_->load, ended_at);
+    const auto attempt = find_open_attempt(pending_prompt_->upstream);
+    if (attempt != open_attempts_.end())
+    {
+        (*attempt)->finish_prefill(ended_at);
+    }
     if (response_began)
     {
         record_speed(*pending_prompt_, ended_at);
     }
-    state_.on_pending_prefill_changed(pending_prompt_->upstream);
     if (response_began && request_.call.prompt)
     {
         const auto now = monotonic_clock::now();
@@ -526,8 +570,10 @@
         finish_prefill(false);
     }
     record_.last_result = serving::name(outcome);
-    state_.upstreams.end_attempt(
-        target.entry.id, outcome, monotonic_clock::now());
+    const auto attempt = find_open_attempt(target.entry.id);
+    BOOST_ASSERT(attempt != open_attempts_.end());
+    (*attempt)->end(outcome, monotonic_clock::now());
+    open_attempts_.erase(attempt);
     state_.metrics.count("wagtail_attempts_total", "end", record_.last_result);
     const bool is_logged =
         !std::holds_alternative<serving::answered>(outcome) &&
@@ -618,6 +664,13 @@
         return next_step::retry;
     }
     failure_detail_ = failure.detail;
+    if (failure.code == result_code::malformed_message)
+    {
+        // The request cannot be encoded, and no upstream is at fault.
+        end_attempt(target, serving::abandoned{});
+        record_.code = result_code::malformed_http;
+        return next_step::give_up;
+    }
     const bool deadline_passed = monotonic_clock::now() >= request_.deadline;
     const bool timed_out = deadline_passed || next_upstream_.has_value();
     end_attempt(
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -3,6 +3,7 @@
 #define WAGTAILSEAM_GATEWAY_REQUEST_HANDLER_HPP
 
 #include "gateway/dispatch_plan.hpp"
+#include "gateway/open_attempt.hpp"
 #include "gateway/process_check.hpp"
 #include "gateway/request_record.hpp"
 #include "http/client.hpp"
@@ -14,6 +15,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -48,6 +50,10 @@
         take_over,
     };
 
+    asio::awaitable<void> serve_request();
+    /// Ends a request that an exception has left, with a response and a log
+    /// line. Its attempts end with it.
+    asio::awaitable<void> end_failed_request(std::string detail);
     [[nodiscard]] result<void> accept_request();
     /// Cancels the attempt, so that the caller gets its final response.
     void end_for_drain();
@@ -310,6 +316,13 @@
     /// Ends the pending prefill of the current attempt, because its response
     /// began or the attempt ended.
     void finish_prefill(bool response_began);
+    /// Returns the open attempt at an upstream.
+    [[nodiscard]] auto find_open_attempt(const upstream_id& id)
+    {
+        return std::find_if(
+            open_attempts_.begin(), open_attempts_.end(),
+            [&](const auto& attempt) { return attempt->upstream() == id; });
+    }
     void end_attempt(
         const serving::chosen_upstream& target,
         const serving::attempt_result& outcome);
@@ -323,6 +336,8 @@
 
     accepted_request request_;
     request_record record_;
+    /// The current attempt, and its successor if there is one.
+    std::vector<std::unique_ptr<open_attempt>> open_attempts_;
     std::set<upstream_id> tried_upstreams_;
     std::uint32_t upstream_waits_ = 0;
     /// How the last attempt ended if a crash of its upstream would explain it.
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -443,8 +443,7 @@
     const bool never_executed = record_.executions == 0;
     unsigned status = http_status_of(record_.code);
     // Callers repeat what was not executed, unless the request is at fault.
-    constexpr unsigned first_server_error = 500;
-    if (never_executed && status >= first_server_error)
+    if (never_executed && status >= status_server_error)
     {
         status = 503;
     }
--- a/src/gateway/request_handler_takeover.cpp
+++ b/src/gateway/request_handler_takeover.cpp
@@ -178,8 +178,9 @@
         return;
     }
     is_retry_paid_ = next_upstream_.has_value();
-    const bool is_unneeded =
-        successor.is_dropped || caller_disconnected_ || ended_by_drain_;
+    const bool is_unneeded = failure.code == result_code::malformed_message ||
+                             successor.is_dropped || caller_disconnected_ ||
+                             ended_by_drain_;
     if (is_unneeded)
     {
         end_attempt(target, serving::abandoned{});
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -39,6 +39,8 @@
 {
     explicit shared_state(platform::process_settings initial_settings);
 
+    /// Expires with this object, which coroutines may outlive.
+    std::shared_ptr<const void> lifetime = std::make_shared<char>();
     platform::process_settings settings;
     /// Null before the first configuration. The configuration number never
     /// decreases.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -40,28 +40,37 @@
 using tcp_user_timeout_option =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
-bhttp::request<bhttp::string_body> to_beast_message(
+using beast_request = bhttp::request<bhttp::string_body>;
+
+/// @errors malformed_message: no HTTP message can represent the request, such
+///         as a TRACE request with a body
+result<std::shared_ptr<beast_request>> to_beast_message(
     const address& server, request source)
 {
-    bhttp::request<bhttp::string_body> message;
-    message.version(11);
-    message.method_string(source.method);
-    message.target(source.target);
-    for (const auto& [name, value] : source.headers)
+    try
     {
-        message.insert(name, value);
+        auto message = std::make_shared<beast_request>();
+        message->version(11);
+        message->method_string(source.method);
+        message->target(source.target);
+        for (const auto& [name, value] : source.headers)
+        {
+            message->insert(name, value);
+        }
+        if (message->find(bhttp::field::host) == message->end())
+        {
+            message->set(bhttp::field::host, server.value());
+        }
+        message->body() = std::move(source.body);
+        message->prepare_payload();
+        return message;
     }
-    if (message.find(bhttp::field::host) == message.end())
+    catch (const std::exception& exception)
     {
-        message.set(bhttp::field::host, server.value());
+        return fail(result_code::malformed_message, exception.what());
     }
-    message.body() = std::move(source.body);
-    message.prepare_payload();
-    return message;
 }
 
-using beast_request = bhttp::request<bhttp::string_body>;
-
 /// Writes a request while the caller reads the response.
 asio::awaitable<void> write_concurrently(
     std::shared_ptr<connection> conn, std::shared_ptr<beast_request> message)
@@ -517,6 +526,12 @@
     address server, request message, open_options options)
 {
     const std::string expected(message.header(options.correlation_header));
+    const bool is_head_request = message.method == "HEAD";
+    const auto beast_message = to_beast_message(server, std::move(message));
+    if (!beast_message)
+    {
+        co_return boost::outcome_v2::failure(beast_message.error());
+    }
     auto connected = co_await state_->connect(server, expected, options);
     if (!connected)
     {
@@ -532,7 +547,7 @@
     opened->read_buffer.resize(state_->options.read_buffer_bytes);
     opened->conn = std::move(connected).value();
     opened->connected_at = opened->conn->connected_at;
-    opened->is_head_request = message.method == "HEAD";
+    opened->is_head_request = is_head_request;
     const auto conn = opened->conn;
     if (options.cancellation)
     {
@@ -542,15 +557,13 @@
     {
         conn->sent.add(expected);
     }
-    const auto beast_message = std::make_shared<beast_request>(
-        to_beast_message(server, std::move(message)));
     const auto deadline = monotonic_clock::now() + options.timeout;
     conn->stream.expires_after(options.timeout);
     if (options.before_write)
     {
         options.before_write();
     }
-    const auto error = co_await send(conn, beast_message);
+    const auto error = co_await send(conn, beast_message.value());
     if (error)
     {
         co_return fail(result_code::stream_broken, error.message());
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -144,7 +144,8 @@
     client& operator=(const client&) = delete;
 
     /// Sends a request and reads the whole response within the timeout.
-    /// @errors upstream_unreachable: no connection; nothing was sent.
+    /// @errors malformed_message: it cannot be encoded; nothing was sent.
+    ///         upstream_unreachable: no connection; nothing was sent.
     ///         stream_broken: the server may have received the request.
     /// @param cancellation may be null
     asio::awaitable<result<response>> fetch(
--- a/src/http/test/client_test.cpp
+++ b/src/http/test/client_test.cpp
@@ -156,6 +156,28 @@
     EXPECT_EQ(accepted_connections_, 1);
 }
 
+/// Guards against an exception that leaves the caller's state half updated.
+TEST_F(client_fixture, request_that_is_no_http_message_is_not_sent)
+{
+    const auto open = [this]() -> asio::awaitable<void>
+    {
+        request message;
+        message.method = "TRACE";
+        message.target = "/";
+        message.body = "text";
+        bool is_written = false;
+        open_options options{
+            .timeout = seconds(1), .before_write = [&] { is_written = true; }};
+        const auto opened = co_await client_.open(
+            server_address(), std::move(message), std::move(options));
+        EXPECT_FALSE(opened.has_value());
+        EXPECT_EQ(opened.error().code, result_code::malformed_message);
+        EXPECT_FALSE(is_written);
+    };
+    asio::co_spawn(context_, open(), asio::detached);
+    context_.run_for(seconds(1));
+}
+
 TEST_F(client_fixture, connection_with_unexpected_bytes_is_not_reused)
 {
     serve({make_response("1", "first") + "HTTP/1.1 200 OK\r\nId: 1\r\n"});
