HTTP: refuse messages whose body has no end that can be found

A body with a transfer coding other than chunked ran as a request that no caller sent, and the outer request ran without its body.

Cause: Beast takes a request whose last coding is not "chunked" for one without a body, and nothing else looked at the field.

http/framing decides for requests and responses: no transfer coding, or "chunked" alone and without a length. A request gets 400 and the end of its connection, a response is an error.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,6 +2,7 @@
 #include "http/client.hpp"
 
 #include "http/endpoint.hpp"
+#include "http/framing.hpp"
 #include "http/pooled_connection.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -333,6 +334,10 @@
             co_return error;
         }
     } while (parser->get().result_int() < first_final_status);
+    if (!is_readable_framing(parser->get().base()))
+    {
+        co_return bhttp::error::bad_transfer_encoding;
+    }
     store_header();
     co_return boost::system::error_code{};
 }
--- /dev/null
+++ b/src/http/framing.hpp
@@ -0,0 +1,36 @@
+// The rules by which the end of a body is found (RFC 9112, 6.1 to 6.3).
+#ifndef WAGTAILSEAM_HTTP_FRAMING_HPP
+#define WAGTAILSEAM_HTTP_FRAMING_HPP
+
+#include <string_view>
+#include <vector>
+
+namespace wagtailseam::http
+{
+
+/// Returns whether the end of a message's body can be found: it has no transfer
+/// coding, or "chunked" as the only one and no length.
+/// @param transfer_encodings values of the Transfer-Encoding fields
+/// @param has_length whether there is a Content-Length field
+[[nodiscard]] bool is_readable_framing(
+    const std::vector<std::string_view>& transfer_encodings, bool has_length);
+
+/// As above, of a header of Boost.Beast.
+template <class Fields>
+[[nodiscard]] bool is_readable_framing(const Fields& header)
+{
+    constexpr std::string_view transfer_encoding = "Transfer-Encoding";
+    std::vector<std::string_view> values;
+    const auto [first, last] = header.equal_range(transfer_encoding);
+    for (auto field = first; field != last; ++field)
+    {
+        const auto value = field->value();
+        values.emplace_back(value.data(), value.size());
+    }
+    return is_readable_framing(
+        values, header.find("Content-Length") != header.end());
+}
+
+} // namespace wagtailseam::http
+
+#endif
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,6 +2,7 @@
 #include "http/server.hpp"
 
 #include "http/endpoint.hpp"
+#include "http/framing.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -768,6 +769,12 @@
         conn.header_bytes += header_field_bytes + field.name_string().size() +
                              field.value().size();
     }
+    // Beast takes a message with another coding for one without a body, and the
+    // body for the next request.
+    if (!header_error && !is_readable_framing(parser.get().base()))
+    {
+        co_return bhttp::error::bad_transfer_encoding;
+    }
     if (header_error || parser.is_done())
     {
         co_return header_error;
