HTTP: send nothing behind a response without a body

After 204 and 304, and after our own answers to HEAD requests, callers could not read the next response on the connection.

Cause: the server sent each response without a length in chunks, whatever its status and method.

http/framing decides whether a response has a body; one without gets no chunks, and what a handler writes for it is dropped.

--- a/src/http/framing.hpp
+++ b/src/http/framing.hpp
@@ -15,7 +15,18 @@
 [[nodiscard]] bool is_readable_framing(
     const std::vector<std::string_view>& transfer_encodings, bool has_length);
 
-/// As above, of a header of Boost.Beast.
+/// Returns whether a response has a body, which then has a length, chunks or
+/// the end of the connection (RFC 9112, 6.3).
+[[nodiscard]] constexpr bool has_body(bool is_head_request, unsigned status)
+{
+    constexpr unsigned first_final = 200;
+    constexpr unsigned no_content = 204;
+    constexpr unsigned not_modified = 304;
+    return !is_head_request && status >= first_final && status != no_content &&
+           status != not_modified;
+}
+
+/// As is_readable_framing() above, of a header of Boost.Beast.
 template <class Fields>
 [[nodiscard]] bool is_readable_framing(const Fields& header)
 {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -262,7 +262,8 @@
 };
 
 exchange::exchange(connection& conn, request message)
-    : conn_(conn), request_(std::move(message))
+    : conn_(conn), request_(std::move(message)),
+      is_head_request_(request_.method == "HEAD")
 {
 }
 
@@ -291,6 +292,12 @@
 
 asio::awaitable<result<void>> exchange::send(response message)
 {
+    if (!has_body(is_head_request_, message.status))
+    {
+        message.content_length = message.body.size();
+        message.body.clear();
+        co_return co_await begin_stream(std::move(message));
+    }
     response_started_ = true;
     bhttp::response<bhttp::string_body> beast_message;
     beast_message.version(11);
@@ -311,12 +318,13 @@
     message.version(11);
     copy_header(header, message);
     message.keep_alive(keep_alive());
-    chunked_ = !header.content_length;
+    has_body_ = has_body(is_head_request_, header.status);
+    chunked_ = has_body_ && !header.content_length;
     if (chunked_)
     {
         message.chunked(true);
     }
-    else
+    else if (header.content_length && (has_body_ || is_head_request_))
     {
         message.content_length(*header.content_length);
     }
@@ -329,7 +337,7 @@
 
 asio::awaitable<result<void>> exchange::write(std::string_view part)
 {
-    if (part.empty())
+    if (part.empty() || !has_body_)
     {
         co_return boost::outcome_v2::success();
     }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -80,6 +80,9 @@
     connection& conn_;
     request request_;
     bool response_started_ = false;
+    const bool is_head_request_;
+    /// Whether the response has a body. What is written is dropped otherwise.
+    bool has_body_ = true;
     bool chunked_ = false;
     /// Shared with the pending wait for a disconnect; emptied by the
     /// destructor.
--- a/src/http/test/framing_test.cpp
+++ b/src/http/test/framing_test.cpp
@@ -13,6 +13,8 @@
 
 #include <array>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace wagtailseam::http
 {
@@ -165,5 +167,93 @@
     }
 }
 
+/// Responses of a handler to a request and to the one that follows it on the
+/// connection.
+class bodiless_response_fixture : public testing::Test
+{
+protected:
+    std::string receive(
+        const std::string& method, unsigned status, bool is_streamed)
+    {
+        server answering(
+            context_.get_executor(), {.listen = address{"127.0.0.1:0"}},
+            [&](exchange& served) -> asio::awaitable<void>
+            {
+                const bool is_second =
+                    served.received_request().target == "/second";
+                response answer;
+                answer.status = is_second ? 200 : status;
+                answer.body = "text";
+                if (!is_streamed || is_second)
+                {
+                    (void)co_await served.send(std::move(answer));
+                    co_return;
+                }
+                answer.body.clear();
+                (void)co_await served.begin_stream(std::move(answer));
+                (void)co_await served.write("text");
+                (void)co_await served.end_stream();
+            });
+        tcp::socket caller(context_);
+        caller.connect({asio::ip::address_v4::loopback(), answering.port()});
+        asio::write(
+            caller, asio::buffer(
+                        method + " /first HTTP/1.1\r\nHost: h\r\n\r\n" +
+                        "GET /second HTTP/1.1\r\nHost: h\r\n\r\n"));
+        context_.restart();
+        context_.run_for(milliseconds(50));
+        std::array<char, 4096> bytes{};
+        boost::system::error_code error;
+        caller.non_blocking(true);
+        const auto size = caller.read_some(asio::buffer(bytes), error);
+        return {bytes.data(), size};
+    }
+
+    asio::io_context context_;
+};
+
+/// Guards against MIXED: bytes behind a response without a body were taken for
+/// the begin of the next one.
+TEST_F(bodiless_response_fixture, next_response_follows_the_header)
+{
+    for (const bool is_streamed : {false, true})
+    {
+        for (const auto& [method, status] :
+             std::vector<std::pair<std::string, unsigned>>{
+                 {"GET", 204},
+                 {"POST", 204},
+                 {"GET", 304},
+                 {"HEAD", 200},
+                 {"HEAD", 404},
+                 {"HEAD", 503}})
+        {
+            SCOPED_TRACE(method + ' ' + std::to_string(status));
+            const auto received = receive(method, status, is_streamed);
+            const auto end = received.find("\r\n\r\n");
+            ASSERT_NE(end, std::string::npos);
+            const auto header = received.substr(0, end);
+            EXPECT_EQ(header.find("chunked"), std::string::npos) << header;
+            EXPECT_TRUE(received.substr(end + 4).starts_with("HTTP/1.1 200"))
+                << received;
+            if (status == 204)
+            {
+                EXPECT_EQ(header.find("Content-Length"), std::string::npos);
+            }
+        }
+    }
+}
+
+TEST_F(bodiless_response_fixture, other_responses_have_their_body)
+{
+    for (const bool is_streamed : {false, true})
+    {
+        for (const unsigned status : {200U, 205U, 404U, 503U})
+        {
+            const auto received = receive("GET", status, is_streamed);
+            EXPECT_NE(received.find("text"), std::string::npos) << received;
+        }
+    }
+}
+
 } // namespace
 } // namespace wagtailseam::http
