Attempts: decide a successor that an exception ended

An exception in the coroutine of a successor left the request waiting for its decision, and its prompt pending. Found by reading; silent_stream_test causes it. A route whose shares are all 0 has the service that draw_service() draws.

--- a/src/gateway/request_handler.cpp
+++ b/src/gateway/request_handler.cpp
@@ -572,8 +572,11 @@
     record_.last_result = serving::name(outcome);
     const auto attempt = find_open_attempt(target.entry.id);
     BOOST_ASSERT(attempt != open_attempts_.end());
-    (*attempt)->end(outcome, monotonic_clock::now());
-    open_attempts_.erase(attempt);
+    if (attempt != open_attempts_.end())
+    {
+        (*attempt)->end(outcome, monotonic_clock::now());
+        open_attempts_.erase(attempt);
+    }
     state_.metrics.count("wagtail_attempts_total", "end", record_.last_result);
     const bool is_logged =
         !std::holds_alternative<serving::answered>(outcome) &&
--- a/src/gateway/request_handler_takeover.cpp
+++ b/src/gateway/request_handler_takeover.cpp
@@ -10,6 +10,8 @@
 #include <boost/assert.hpp>
 
 #include <algorithm>
+#include <exception>
+#include <optional>
 #include <utility>
 
 namespace wagtailseam::gateway
@@ -74,7 +76,25 @@
 asio::awaitable<void> request_handler::run_successor(
     std::shared_ptr<successor_attempt> successor)
 {
-    auto response = co_await open_successor(*successor);
+    std::optional<http::response_stream> response;
+    try
+    {
+        response = co_await open_successor(*successor);
+    }
+    catch (const std::exception& exception)
+    {
+        // The request waits until its successor is decided.
+        telemetry::event("successor_failed")
+            .with("request", request_.call.id)
+            .with("upstream", successor->target.entry.id)
+            .with("detail", exception.what())
+            .warning();
+        const auto attempt = find_open_attempt(successor->target.entry.id);
+        if (attempt != open_attempts_.end())
+        {
+            open_attempts_.erase(attempt);
+        }
+    }
     if (response && successor->is_dropped)
     {
         response->close();
--- a/src/stream_origin/stream_routes.cpp
+++ b/src/stream_origin/stream_routes.cpp
@@ -17,6 +17,11 @@
             services.insert(share.service);
         }
     }
+    if (services.empty() && !route.services.empty())
+    {
+        // serving::draw_service() draws the last one.
+        services.insert(route.services.back().service);
+    }
     return services;
 }
 
--- a/src/stream_origin/test/route_services_test.cpp
+++ b/src/stream_origin/test/route_services_test.cpp
@@ -200,6 +200,8 @@
     auto route = route_to({first, second});
     route.services.back().weight = 0;
     EXPECT_EQ(services_of(route), service_set{first});
+    route.services.front().weight = 0;
+    EXPECT_EQ(services_of(route), service_set{second}) << "it gets all";
 }
 
 TEST_F(route_services_fixture, equal_configuration_changes_nothing)
