Routes: forget the workspace of another configuration

A resumption that applies a newer configuration kept the pointer to its workspace in the old one if its path is public there: a use after the table was freed.

--- a/src/gateway/dispatch_plan.cpp
+++ b/src/gateway/dispatch_plan.cpp
@@ -183,6 +183,8 @@
 
 result<void> find_route(const shared_state& state, accepted_request& request)
 {
+    // That of another configuration may no longer exist.
+    request.workspace = nullptr;
     request.route = request.routes->find_route(
         request.call.host, request.call.message.path());
     if (request.route == nullptr)
