--- a/src/agent/cache_sweep_scheduler.cpp
+++ b/src/agent/cache_sweep_scheduler.cpp
@@ -16,7 +16,7 @@
 /// @param reported the model of the part, if the store reports one
 std::optional<weight_version> version_of(
     const serving::cache_salt& salt, const model_id& model,
-    const std::optional<model_id>& reported = std::nullopt)
+    const std::optional<model_id>& reported)
 {
     if (const auto fields = serving::parse_cache_salt(salt))
     {
@@ -80,22 +80,22 @@
     weight_version oldest_kept)
 {
     std::vector<serving::part_key> parts;
-    for (const auto& complete : content.complete)
+    const auto add_if_older = [&](const serving::part_key& part,
+                                  const std::optional<model_id>& reported)
     {
-        const auto version =
-            version_of(complete.key.salt, model, complete.model);
+        const auto version = version_of(part.salt, model, reported);
         if (version && *version < oldest_kept)
         {
-            parts.push_back(complete.key);
+            parts.push_back(part);
         }
+    };
+    for (const auto& complete : content.complete)
+    {
+        add_if_older(complete.key, complete.model);
     }
     for (const auto& incomplete : content.incomplete)
     {
-        const auto version = version_of(incomplete.salt, model);
-        if (version && *version < oldest_kept)
-        {
-            parts.push_back(incomplete);
-        }
+        add_if_older(incomplete, std::nullopt);
     }
     return parts;
 }
--- a/src/agent/cache_sweep_scheduler.hpp
+++ b/src/agent/cache_sweep_scheduler.hpp
@@ -65,8 +65,8 @@
 };
 
 /// Returns the parts in a store that belong to a model's weights older than
-/// `oldest_kept`, incomplete ones included. Incomplete parts that an earlier
-/// release saved are left if their salt does not tell their model. Complexity:
+/// `oldest_kept`, incomplete ones included. An incomplete part of an earlier
+/// release is omitted if its salt does not identify the model. Complexity:
 /// linear in the content.
 [[nodiscard]] std::vector<serving::part_key> parts_of_older_weights(
     const serving::cache_content& content, const model_id& model,
--- a/src/serving/test/cache_salt_test.cpp
+++ b/src/serving/test/cache_salt_test.cpp
@@ -1,4 +1,4 @@
-// Checks that salts tell namespaces apart and can be read back.
+// Tests that salts are unique to their namespace and can be decoded.
 #include "serving/cache_salt.hpp"
 
 #include <gtest/gtest.h>
