Client: an end without the whole request breaks a body without a length

Cause: the kernel reports an error of a connection once. The concurrent write of the upload took the reset, and the read after it returned an ordinary end, which marks the end of such a body. The look for unread bytes takes the error too, and an end before a reset hides it. A request in the buffers of this side counted as written.

Ruled out: the gateway's check for a crash at the end of a body (the upstream was listening), and its framing of the response, which follows the client.

Change: the connection of the client remembers each error. Its end marks the end of a body only if no error was reported or is pending, the request is written, and the peer's kernel has acknowledged its last byte. It holds for all users of http::client. A response with a length or chunks stays whole. A failed read closes the connection; a read after it waited for its timeout before.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -78,8 +78,8 @@
 {
     const auto [error, size] =
         co_await bhttp::async_write(conn->stream, *message, completion);
-    // A write error also makes the read of the response fail.
     conn->write_complete = !error;
+    conn->failed = conn->failed || error;
 }
 
 /// Writes a request. Returns without waiting for the write of a large body.
@@ -484,6 +484,7 @@
         }
         if (error)
         {
+            close();
             co_return fail(result_code::stream_broken, error.message());
         }
         const std::size_t size = current.read_buffer.size() - body.size;
@@ -496,6 +497,16 @@
     {
         co_return fail(result_code::stream_broken, "response stream is closed");
     }
+    if (current.framing == body_framing::until_close)
+    {
+        const auto end = check_end(*current.conn);
+        if (!end)
+        {
+            close();
+            current.conn.reset();
+            co_return boost::outcome_v2::failure(end.error());
+        }
+    }
     current.release_connection();
     co_return std::string_view();
 }
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -111,7 +111,9 @@
     /// is valid until the next call.
     /// @param timeout the call fails if it is not positive, also if data is
     ///        available
-    /// @errors stream_broken
+    /// @errors stream_broken; also if only the end of the connection marks the
+    ///         end of the body, and it came before the server had received the
+    ///         whole request, or by an error
     asio::awaitable<result<std::string_view>> read(duration timeout);
 
     /// Closes the connection; a pending read fails with stream_broken.
--- a/src/http/pooled_connection.hpp
+++ b/src/http/pooled_connection.hpp
@@ -3,6 +3,7 @@
 #define WAGTAILSEAM_HTTP_POOLED_CONNECTION_HPP
 
 #include "core/clock.hpp"
+#include "core/result.hpp"
 #include "http/message.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -49,6 +50,9 @@
     boost::beast::flat_buffer buffer{max_buffered_bytes};
     /// False while a request is being written, and after a failed write.
     bool write_complete = true;
+    /// Whether an operation on the socket has reported an error. The kernel
+    /// reports an error once; later reads see an ordinary end.
+    bool failed = false;
     bool is_pooled = false;
     /// Whether an earlier request was sent on it.
     bool is_reused = false;
@@ -64,6 +68,12 @@
 /// Returns whether bytes or the end of the connection can be read.
 [[nodiscard]] bool has_unread_input(pooled_connection& conn);
 
+/// Checks that the end of the connection, which has been read, marks the end of
+/// a response.
+/// @errors stream_broken: the server has not received the whole request, or an
+///         error ended the connection
+[[nodiscard]] result<void> check_end(pooled_connection& conn);
+
 /// Returns whether an idle connection can be reused. Pending bytes or an end of
 /// stream mean that the server has closed it or sent unexpected data.
 [[nodiscard]] bool is_usable(pooled_connection& idle);
