Client: break a response whose status no response has

Cause: each status below 200 was taken for that of an interim response, whose header the final response follows. The parser accepts any three digits.

Change: http/framing tells interim, final and unusable statuses apart (RFC 9110, 15). The client checks it as the status line is read, for all its users, so it reads headers with a loop of its own. An interim response that announces a body is broken: its body would be read as the next response.

Statuses that are no three digits were refused before; their test stays.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -296,7 +296,8 @@
         }
     }
 
-    asio::awaitable<boost::system::error_code> receive_header(
+    asio::awaitable<result<void>> read_header();
+    asio::awaitable<result<void>> receive_header(
         const client_options& limits, mono_time deadline);
     asio::awaitable<boost::system::error_code> discard_body(mono_time deadline);
     asio::awaitable<result<void>> receive_response(
@@ -306,40 +307,95 @@
     void release_connection();
 };
 
+/// Reads one header into the parser, and checks what the parser does not as the
+/// lines arrive.
+asio::awaitable<result<void>> response_stream::state::read_header()
+{
+    while (!parser->is_header_done())
+    {
+        boost::system::error_code error;
+        if (conn->buffer.size() > 0)
+        {
+            conn->buffer.consume(parser->put(conn->buffer.data(), error));
+            const auto status = parser->get().result_int();
+            if (kind_of_status(status) == status_kind::unusable)
+            {
+                co_return fail(
+                    result_code::stream_broken,
+                    "a response cannot have the status " +
+                        std::to_string(status));
+            }
+            if (error && error != bhttp::error::need_more)
+            {
+                co_return fail(result_code::stream_broken, error.message());
+            }
+            if (!error)
+            {
+                continue;
+            }
+        }
+        const auto space = conn->buffer.prepare(
+            beast::read_size(conn->buffer, max_buffered_bytes));
+        const auto [read_error, size] =
+            co_await conn->stream.async_read_some(space, completion);
+        if (read_error)
+        {
+            co_return fail(result_code::stream_broken, read_error.message());
+        }
+        conn->buffer.commit(size);
+    }
+    co_return boost::outcome_v2::success();
+}
+
 /// Reads the next response header, skipping interim (1xx) responses.
-asio::awaitable<boost::system::error_code>
-response_stream::state::receive_header(
+asio::awaitable<result<void>> response_stream::state::receive_header(
     const client_options& limits, mono_time deadline)
 {
-    constexpr unsigned first_final_status = 200;
-    int interim_responses = 0;
-    do
+    for (int interim_responses = 0; interim_responses <= max_interim_responses;
+         ++interim_responses)
     {
         // Available data is read without waiting, so that the timeout of the
         // connection does not apply.
-        if (interim_responses++ > max_interim_responses ||
-            monotonic_clock::now() >= deadline)
+        if (monotonic_clock::now() >= deadline)
         {
-            co_return beast::error::timeout;
+            co_return fail(
+                result_code::stream_broken, "timeout before the response");
         }
         parser.emplace();
         parser->header_limit(
             static_cast<std::uint32_t>(limits.max_header_bytes));
         parser->body_limit(limits.max_body_bytes);
         parser->skip(is_head_request);
-        const auto [error, size] = co_await bhttp::async_read_header(
-            conn->stream, conn->buffer, *parser, completion);
-        if (error)
+        const auto read = co_await read_header();
+        if (!read)
         {
-            co_return error;
+            co_return boost::outcome_v2::failure(read.error());
+        }
+        const auto& message = parser->get();
+        const bool is_interim =
+            kind_of_status(message.result_int()) == status_kind::interim;
+        if (!is_readable_framing(message.base()))
+        {
+            co_return fail(
+                result_code::stream_broken, "unreadable transfer coding");
+        }
+        if (!is_interim)
+        {
+            store_header();
+            co_return boost::outcome_v2::success();
+        }
+        // Its body would be read as the next response.
+        if (parser->chunked() || parser->content_length().value_or(0) > 0)
+        {
+            co_return fail(
+                result_code::stream_broken,
+                "an interim response with status " +
+                    std::to_string(message.result_int()) + " has a body");
         }
-    } while (parser->get().result_int() < first_final_status);
-    if (!is_readable_framing(parser->get().base()))
-    {
-        co_return bhttp::error::bad_transfer_encoding;
     }
-    store_header();
-    co_return boost::system::error_code{};
+    co_return fail(
+        result_code::stream_broken,
+        "over " + std::to_string(max_interim_responses) + " interim responses");
 }
 
 asio::awaitable<boost::system::error_code> response_stream::state::discard_body(
@@ -371,10 +427,10 @@
 {
     for (int discarded = 0; discarded <= max_discarded_responses; ++discarded)
     {
-        const auto error = co_await receive_header(limits, deadline);
-        if (error)
+        const auto received_header = co_await receive_header(limits, deadline);
+        if (!received_header)
         {
-            co_return fail(result_code::stream_broken, error.message());
+            co_return boost::outcome_v2::failure(received_header.error());
         }
         const auto received = header.header(correlation_header);
         // Without a value, only the first response on a connection is known to
--- a/src/http/framing.hpp
+++ b/src/http/framing.hpp
@@ -1,7 +1,9 @@
-// The rules by which the end of a body is found (RFC 9112, 6.1 to 6.3).
+// The rules by which a response and the end of a body are found (RFC 9110, 15;
+// RFC 9112, 6.1 to 6.3).
 #ifndef WAGTAILSEAM_HTTP_FRAMING_HPP
 #define WAGTAILSEAM_HTTP_FRAMING_HPP
 
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
@@ -15,6 +17,32 @@
 [[nodiscard]] bool is_readable_framing(
     const std::vector<std::string_view>& transfer_encodings, bool has_length);
 
+enum class status_kind : std::uint8_t
+{
+    /// Another response to the same request follows.
+    interim,
+    final,
+    /// No HTTP response has this status, or it ends the use of HTTP on the
+    /// connection. What follows is no response.
+    unusable,
+};
+
+/// Returns the kind of a response's status for a client that never asks for
+/// another protocol.
+[[nodiscard]] constexpr status_kind kind_of_status(unsigned status)
+{
+    constexpr unsigned first_interim = 100;
+    constexpr unsigned switching_protocols = 101;
+    constexpr unsigned first_final = 200;
+    constexpr unsigned last_final = 599;
+    if (status < first_interim || status > last_final ||
+        status == switching_protocols)
+    {
+        return status_kind::unusable;
+    }
+    return status < first_final ? status_kind::interim : status_kind::final;
+}
+
 /// Returns whether a response has a body, which then has a length, chunks or
 /// the end of the connection (RFC 9112, 6.3).
 [[nodiscard]] constexpr bool has_body(bool is_head_request, unsigned status)
