HTTP: refuse folded header lines, keep trailers out of the header

Cause: the parser replaces a folded line by a blank and its text before anything else sees the field (RFC 9112, 5.2). The server read requests in the same way. Found on the way: trailers of a request became fields of its header.

Ruled out: names that hold a blank, a control byte or another character that no token has. They were refused wherever they stand; the tests of them stay.

Change: http/framing finds a folded line in the bytes that the parser has not taken, before any field is believed. The server takes the header of a request before its body is read.

--- a/src/http/framing.cpp
+++ b/src/http/framing.cpp
@@ -1,4 +1,4 @@
-// Check of transfer codings.
+// Checks of transfer codings and header lines.
 #include "http/framing.hpp"
 
 #include <algorithm>
@@ -33,4 +33,23 @@
             equals_ignoring_case(transfer_encodings.front(), chunked));
 }
 
+bool has_folded_line(std::string_view section)
+{
+    constexpr std::string_view line_end = "\r\n";
+    for (;;)
+    {
+        const auto end = section.find(line_end);
+        // An empty line ends the header.
+        if (end == std::string_view::npos || end == 0)
+        {
+            return false;
+        }
+        section.remove_prefix(end + line_end.size());
+        if (section.starts_with(' ') || section.starts_with('\t'))
+        {
+            return true;
+        }
+    }
+}
+
 } // namespace wagtailseam::http
--- a/src/http/framing.hpp
+++ b/src/http/framing.hpp
@@ -1,5 +1,5 @@
-// The rules by which a response and the end of a body are found (RFC 9110, 15;
-// RFC 9112, 6.1 to 6.3).
+// The rules by which a response, its header lines and the end of a body are
+// found (RFC 9110, 15; RFC 9112, 5.2 and 6.1 to 6.3).
 #ifndef WAGTAILSEAM_HTTP_FRAMING_HPP
 #define WAGTAILSEAM_HTTP_FRAMING_HPP
 
@@ -54,6 +54,12 @@
            status != not_modified;
 }
 
+/// Returns whether a line begins with a blank, which continues the line before
+/// it (RFC 9112, 5.2): its text would join another field's value, whatever
+/// field it looks like.
+/// @param section lines of a header; may break off, or go on with the body
+[[nodiscard]] bool has_folded_line(std::string_view section);
+
 /// As is_readable_framing() above, of a header of Boost.Beast.
 template <class Fields>
 [[nodiscard]] bool is_readable_framing(const Fields& header)
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -104,18 +104,19 @@
 
 using request_parser = bhttp::request_parser<growing_body>;
 
-template <class Body>
-request to_request(bhttp::request<Body>&& message)
+/// Moves the header out of a parser that may insert trailers afterwards.
+request take_header(request_parser& parser)
 {
-    request converted;
-    converted.method = std::string(message.method_string());
-    converted.target = std::string(message.target());
+    auto& message = parser.get();
+    request taken;
+    taken.method = std::string(message.method_string());
+    taken.target = std::string(message.target());
     for (const auto& field : message)
     {
-        converted.headers.emplace_back(field.name_string(), field.value());
+        taken.headers.emplace_back(field.name_string(), field.value());
     }
-    converted.body = std::move(message.body());
-    return converted;
+    message.clear();
+    return taken;
 }
 
 template <class Message>
@@ -215,9 +216,10 @@
     asio::awaitable<boost::system::error_code> parse_until(
         exchange::connection& conn, request_parser& parser,
         bool (request_parser::*condition)() const, duration limit);
-    /// Reads one request into the parser.
+    /// Reads one request. Its body is left in the parser.
+    /// @param message set to the request without its body
     asio::awaitable<boost::system::error_code> receive(
-        exchange::connection& conn, request_parser& parser);
+        exchange::connection& conn, request_parser& parser, request& message);
 };
 
 struct exchange::connection : std::enable_shared_from_this<connection>
@@ -706,7 +708,14 @@
             co_return asio::error::operation_aborted;
         }
         boost::system::error_code error;
-        if (conn.buffer.size() > 0)
+        const auto unparsed = conn.buffer.cdata();
+        if (!parser.is_header_done() &&
+            has_folded_line(
+                {static_cast<const char*>(unparsed.data()), unparsed.size()}))
+        {
+            co_return bhttp::error::bad_field;
+        }
+        if (unparsed.size() > 0)
         {
             conn.buffer.consume(parser.put(conn.buffer.data(), error));
         }
@@ -753,7 +762,7 @@
 }
 
 asio::awaitable<boost::system::error_code> server::state::receive(
-    exchange::connection& conn, request_parser& parser)
+    exchange::connection& conn, request_parser& parser, request& message)
 {
     if (conn.buffer.size() == 0)
     {
@@ -783,11 +792,19 @@
     {
         co_return bhttp::error::bad_transfer_encoding;
     }
-    if (header_error || parser.is_done())
+    if (header_error)
     {
         co_return header_error;
     }
-    if (beast::iequals(parser.get()[bhttp::field::expect], "100-continue"))
+    // Trailers are no header fields (RFC 9110, 6.5.1).
+    message = take_header(parser);
+    if (parser.is_done())
+    {
+        co_return boost::system::error_code{};
+    }
+    const auto expectation = message.header("Expect");
+    if (beast::iequals(
+            {expectation.data(), expectation.size()}, "100-continue"))
     {
         constexpr std::string_view interim_response =
             "HTTP/1.1 100 Continue\r\n\r\n";
@@ -858,7 +875,8 @@
     };
     request_parser parser;
     const body_memory memory(conn, parser.get().body());
-    auto error = co_await receive(conn, parser);
+    request received;
+    auto error = co_await receive(conn, parser, received);
     // The body is copied when it is sent to an upstream.
     if (!error &&
         !account(conn, conn.accounted_bytes + parser.get().body().size(), true))
@@ -880,8 +898,9 @@
         co_return false;
     }
     conn.body = nullptr;
-    conn.keep_alive = parser.get().keep_alive();
-    exchange current_exchange(conn, to_request(parser.release()));
+    conn.keep_alive = parser.keep_alive();
+    received.body = std::move(parser.get().body());
+    exchange current_exchange(conn, std::move(received));
     conn.stream.expires_never();
     conn.is_handled = true;
     try
