--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -314,15 +314,13 @@
     while (!parser->is_header_done())
     {
         boost::system::error_code error;
-        const auto unparsed = conn->buffer.cdata();
-        if (has_folded_line(
-                {static_cast<const char*>(unparsed.data()), unparsed.size()}))
+        if (has_folded_line(conn->buffer))
         {
             co_return fail(
                 result_code::stream_broken,
                 "a header line begins with a blank");
         }
-        if (unparsed.size() > 0)
+        if (conn->buffer.size() > 0)
         {
             conn->buffer.consume(parser->put(conn->buffer.data(), error));
             const auto status = parser->get().result_int();
--- a/src/http/framing.hpp
+++ b/src/http/framing.hpp
@@ -60,6 +60,16 @@
 /// @param section lines of a header; may break off, or go on with the body
 [[nodiscard]] bool has_folded_line(std::string_view section);
 
+/// As has_folded_line() above, of a buffer of Boost.Beast with the bytes that
+/// the parser of a header has not taken yet.
+template <class FlatBuffer>
+[[nodiscard]] bool has_folded_line(const FlatBuffer& unparsed)
+{
+    const auto bytes = unparsed.cdata();
+    return has_folded_line(
+        std::string_view(static_cast<const char*>(bytes.data()), bytes.size()));
+}
+
 /// As is_readable_framing() above, of a header of Boost.Beast.
 template <class Fields>
 [[nodiscard]] bool is_readable_framing(const Fields& header)
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -133,6 +133,17 @@
     }
 }
 
+/// Returns whether bytes that arrived are no request, and not only a part of
+/// one.
+bool is_malformed(const boost::system::error_code& error)
+{
+    return error &&
+           error.category() ==
+               bhttp::make_error_code(bhttp::error::bad_method).category() &&
+           error != bhttp::error::end_of_stream &&
+           error != bhttp::error::partial_message;
+}
+
 response error_response(result_code code, unsigned status)
 {
     response message;
@@ -708,14 +719,11 @@
             co_return asio::error::operation_aborted;
         }
         boost::system::error_code error;
-        const auto unparsed = conn.buffer.cdata();
-        if (!parser.is_header_done() &&
-            has_folded_line(
-                {static_cast<const char*>(unparsed.data()), unparsed.size()}))
+        if (!parser.is_header_done() && has_folded_line(conn.buffer))
         {
             co_return bhttp::error::bad_field;
         }
-        if (unparsed.size() > 0)
+        if (conn.buffer.size() > 0)
         {
             conn.buffer.consume(parser.put(conn.buffer.data(), error));
         }
@@ -883,13 +891,7 @@
     {
         error = asio::error::no_buffer_space;
     }
-    const bool malformed =
-        error &&
-        error.category() ==
-            bhttp::make_error_code(bhttp::error::bad_method).category() &&
-        error != bhttp::error::end_of_stream &&
-        error != bhttp::error::partial_message;
-    if (malformed || error == asio::error::no_buffer_space)
+    if (is_malformed(error) || error == asio::error::no_buffer_space)
     {
         co_await send_receive_error(conn, error);
     }
--- a/src/http/test/header_lines_test.cpp
+++ b/src/http/test/header_lines_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/read.hpp>
 
+#include <fmt/format.h>
 #include <limits>
 
 namespace wagtailseam::http
@@ -197,15 +198,15 @@
 TEST_F(header_lines_fixture, body_and_next_message_are_no_header_lines)
 {
     const std::string body = "a\r\n b\r\n\tc";
-    const std::string length =
-        "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    const auto length = fmt::format("Content-Length: {}\r\n", body.size());
+    const auto message =
+        fmt::format("POST / HTTP/1.1\r\nHost: h\r\n{}\r\n{}", length, body);
     for (const bool is_slow : {false, true})
     {
-        const auto received = receive(length + "\r\n" + body, is_slow);
+        const auto received =
+            receive(fmt::format("{}\r\n{}", length, body), is_slow);
         ASSERT_TRUE(received.has_value()) << received.error().detail;
         EXPECT_EQ(received.value().body, body);
-        const auto message =
-            "POST / HTTP/1.1\r\nHost: h\r\n" + length + "\r\n" + body;
         send_to_server(message + message, is_slow);
         ASSERT_EQ(received_.size(), 2U);
         EXPECT_EQ(received_.back().body, body);
@@ -224,7 +225,8 @@
         for (const bool is_slow : {false, true})
         {
             send_to_server(
-                header + "4\r\ntext\r\n0\r\n" + trailers + "\r\n", is_slow);
+                fmt::format("{}4\r\ntext\r\n0\r\n{}\r\n", header, trailers),
+                is_slow);
             ASSERT_EQ(received_.size(), 1U) << trailers;
             EXPECT_EQ(received_.front().body, "text");
             EXPECT_EQ(
