--- a/src/http/test/raw_server.hpp
+++ b/src/http/test/raw_server.hpp
@@ -42,6 +42,9 @@
         asio::co_spawn(context, accept(), asio::detached);
     }
 
+    raw_server(const raw_server&) = delete;
+    raw_server& operator=(const raw_server&) = delete;
+
     [[nodiscard]] address server_address() const
     {
         return address{
@@ -64,6 +67,9 @@
         script_ = std::move(connection_script);
     }
 
+    /// Ends as a process does: new connections are refused.
+    void close() { acceptor_.close(); }
+
     /// Sends a text after the first bytes of a request, and keeps the
     /// connection open.
     void serve_text(std::string text)
