Gateway: await the outcome of a part's trial that has ended elsewhere

Callers saw a refusal of a sound stream right after a trial had cleared the prompt part that it shares with streams that crash upstreams.

Change: the one request whose claim is refused waits until the record of the part differs from the one before the claim, 0.25 s at most, and is then judged again. Whole requests and requests without a claim are refused at once, as before.

Evidence: awaited_trial_test.part_that_is_cleared_meanwhile_is_served failed before.

--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -181,6 +181,12 @@
     find_unclaimed_trial() const;
     /// Claims a trial, or defers it if that fails.
     asio::awaitable<void> claim_trial(quarantine::content_fingerprint suspect);
+    /// Waits for a short time until the record of a part is another one than
+    /// before its trial was found claimed by another gateway: the trial may
+    /// have ended, and the record that tells so may arrive later than the
+    /// answer to the claim. Other requests of this gateway do not wait.
+    asio::awaitable<void> await_changed_record(
+        quarantine::content_fingerprint part, quarantine::crash_record known);
     /// Ends the trial of a suspect.
     void end_trial();
     /// Forgets the claims of the trials. They are released unless their outcome
--- a/src/gateway/request_handler_trials.cpp
+++ b/src/gateway/request_handler_trials.cpp
@@ -4,11 +4,26 @@
 #include "http/listener_probe.hpp"
 #include "telemetry/event_log.hpp"
 
+#include <boost/asio/experimental/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <utility>
 
 namespace wagtailseam::gateway
 {
+namespace
+{
+
+constexpr auto completion = asio::experimental::as_tuple(asio::use_awaitable);
+
+/// Time within which the record of a trial that has ended arrives from another
+/// gateway. Shorter than the deferral of a part.
+constexpr std::chrono::milliseconds outcome_arrival_time{250};
+constexpr std::chrono::milliseconds outcome_check_interval{5};
+
+} // namespace
 
 asio::awaitable<bool> request_handler::may_start_attempt()
 {
@@ -64,17 +79,48 @@
 asio::awaitable<void> request_handler::claim_trial(
     quarantine::content_fingerprint suspect)
 {
+    const auto* const record = state_.crashes.quarantine().find(suspect);
+    const auto known =
+        record == nullptr ? std::nullopt : std::optional(*record);
     const auto outcome = co_await state_.claim_trial(suspect);
     if (outcome == quarantine::claim_outcome::claimed)
     {
         claimed_trials_.insert(suspect);
+        co_return;
     }
-    else
+    state_.crashes.quarantine().defer_trial(suspect, wall_clock::now());
+    if (outcome == quarantine::claim_outcome::held && known &&
+        known->kind == quarantine::suspect_kind::prompt_part)
     {
-        state_.crashes.quarantine().defer_trial(suspect, wall_clock::now());
+        co_await await_changed_record(suspect, *known);
     }
 }
 
+asio::awaitable<void> request_handler::await_changed_record(
+    quarantine::content_fingerprint part, quarantine::crash_record known)
+{
+    const auto has_changed = [&]
+    {
+        const auto* const record = state_.crashes.quarantine().find(part);
+        return record == nullptr || *record != known;
+    };
+    const auto began = monotonic_clock::now();
+    const auto limit =
+        std::min<duration>(outcome_arrival_time, request_.time_left());
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (!has_changed() && !caller_disconnected_ &&
+           monotonic_clock::now() - began < limit)
+    {
+        timer.expires_after(outcome_check_interval);
+        co_await timer.async_wait(completion);
+    }
+    telemetry::event("trial_elsewhere_awaited")
+        .with("request", request_.call.id)
+        .with("content", short_name(part))
+        .with("record_changed", has_changed())
+        .with("waited_us", (monotonic_clock::now() - began).count());
+}
+
 bool request_handler::check_quarantine()
 {
     const auto status = state_.crashes.check(request_.content());
