--- a/review/support-3/scene.py
+++ b/review/support-3/scene.py
@@ -328,6 +328,8 @@
                         # Nothing passes any more, not even the end.
                         await asyncio.sleep(3600)
                     connection[last] = time.monotonic()
+                    if last == "from_gateway":
+                        connection["call"] = data.split(b"\r\n", 1)[0]
                     sink.write(data)
                     await sink.drain()
             except ConnectionError:
@@ -346,8 +348,9 @@
     """State of one connection through a link."""
 
     def __init__(self):
-        # Times of the last bytes from either side.
-        super().__init__(silent=False, from_gateway=0.0, from_store=0.0)
+        # Times of the last bytes from either side, and the last call.
+        super().__init__(silent=False, from_gateway=0.0, from_store=0.0,
+                         call=b"")
 
     __hash__ = object.__hash__
     __eq__ = object.__eq__
