--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." || exit 2
+export PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=review/support-3
+exec python3 review/14/case.py
--- a/review/support-3/scene.py
+++ b/review/support-3/scene.py
@@ -71,13 +71,13 @@
             "sticky": kind == "streaming", "resumable": kind == "streaming"}
 
 
-def configuration(number, routes, keys=(KEY,)):
+def configuration(number, routes, keys=(KEY,), tenants=None):
     services = sorted({entry["service"] for entry in routes})
     return {"version": number, "routes": routes,
             "services": [{"name": name} for name in services],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
                        "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-            "tenants": [{"name": "w", "apiKeys": list(keys)}]}
+            "tenants": tenants or [{"name": "w", "apiKeys": list(keys)}]}
 
 
 # --- HTTP/1.1 -------------------------------------------------------------
@@ -291,6 +291,7 @@
         self.ip, self.target = ip, target
         self.port = free_port(ip)
         self.open = set()
+        self.refuses = False
 
     @property
     def address(self):
@@ -308,7 +309,20 @@
         self.open.clear()
         return count
 
+    def turn_away(self):
+        """Resets the open connections, and each new one until let_in()."""
+        self.refuses = True
+        for connection in list(self.open):
+            for end in connection["ends"]:
+                reset(end)
+
+    def let_in(self):
+        self.refuses = False
+
     async def accept(self, reader, writer):
+        if self.refuses:
+            reset(writer)
+            return
         try:
             up_reader, up_writer = await asyncio.open_connection(
                 self.target.ip, self.target.port)
@@ -316,6 +330,7 @@
             reset(writer)
             return
         connection = Connection()
+        connection["ends"] = (writer, up_writer)
         self.open.add(connection)
         for end in (writer, up_writer):
             end.get_extra_info("socket").setsockopt(
@@ -691,7 +706,7 @@
 # --- Consumers ------------------------------------------------------------
 
 def request_bytes(kind, request, deadline_ms, key=KEY, body=b"text",
-                  more=()):
+                  more=(), part=None):
     method = "GET" if kind == "look" else "POST"
     lines = [f"{method} /{kind}/x HTTP/1.1", f"Host: {HOST}",
              f"Request-Id: {request}", f"Deadline-Ms: {int(deadline_ms)}",
@@ -701,7 +716,8 @@
         # a request's own.
         own = zlib.crc32(request.encode())
         lines += [f"Model: {MODEL}", "Token-Usage: 110,20",
-                  f"Prompt-Prefix: aa{own % 12:02x}:100,{own:08x}:10"]
+                  f"Prompt-Prefix: {part or f'aa{own % 12:02x}'}:100,"
+                  f"{own:08x}:10"]
     lines += [f"{name}: {value}" for name, value in more]
     body = b"" if method == "GET" else body
     if method == "POST":
@@ -764,12 +780,13 @@
 
 
 async def ask_once(gateway, kind, request, deadline_ms=5000, key=KEY,
-                   body=b"text"):
+                   body=b"text", more=(), part=None):
     """Returns status, headers and body; None if the channel breaks."""
     channel = Channel(gateway)
     try:
         await channel.open()
-        await channel.send(kind, request, deadline_ms, key=key, body=body)
+        await channel.send(kind, request, deadline_ms, key=key, body=body,
+                           more=more, part=part)
         head = await asyncio.wait_for(channel.head(), deadline_ms / 1000 + 2)
         if head is None:
             return None
