--- a/review/support-3/scene.py
+++ b/review/support-3/scene.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 import zlib
 
@@ -812,9 +813,9 @@
             text = "the rule held" if held else "the rule was broken"
         except (CannotRun, asyncio.TimeoutError) as reason:
             code, text = NOT_RUN, f"cannot run: {reason!r}"
-        except BaseException:
-            scene.close()
-            raise
+        except Exception:
+            traceback.print_exc()
+            code, text = NOT_RUN, "cannot run: an error of the case itself"
         scene.close()
         scene.record.write(text)
         print(text, flush=True)
