Gateway, agent: a regime of an earlier era covers no stream; agents keep notes

Cause: the copy has the row "single: v1" of the version regime and none of the records of the streams. A gateway that starts after the return can't see that the row is of an earlier time, and takes each stream without a record for one of v1. A copy without the row leads to the same: the regime was written from the list of the copy.

Change: the row names the era of the store for which it was written, and holds in that era only. Gateways note each stream at two agents, which survive the loss of the store and of all gateways, and ask them about a stream that has no record and that no regime covers. After 3 s in which only the version of the row was listed the row is written again with the time from which on it holds; older streams that nobody knows go on at that version if no agent has heard of another one.

Ruled out: the records, the list alone, gateways that live through the drill.

--- a/src/agent/app.cpp
+++ b/src/agent/app.cpp
@@ -202,20 +202,32 @@
 asio::awaitable<void> app::receive_datagrams()
 {
     std::array<char, engine_status::max_datagram_bytes> buffer{};
+    asio::ip::udp::endpoint sender;
     for (;;)
     {
-        const auto [error, size] = co_await socket_.async_receive(
-            asio::buffer(buffer), completion_token);
+        const auto [error, size] = co_await socket_.async_receive_from(
+            asio::buffer(buffer), sender, completion_token);
         if (error == asio::error::operation_aborted)
         {
             co_return;
         }
-        if (engine_status::is_prefill_report({buffer.data(), error ? 0 : size}))
+        const std::string_view datagram(buffer.data(), error ? 0 : size);
+        if (engine_status::is_prefill_report(datagram))
         {
-            handle_prefill_report({buffer.data(), size});
+            handle_prefill_report(datagram);
             continue;
         }
-        const auto status = engine_status::decode_status({buffer.data(), size});
+        if (stream_origin::is_origin_note(datagram))
+        {
+            handle_origin_note(datagram);
+            continue;
+        }
+        if (stream_origin::is_origin_question(datagram))
+        {
+            answer_origin_question(datagram, sender);
+            continue;
+        }
+        const auto status = engine_status::decode_status(datagram);
         if (status && status.value().upstream != own_id_)
         {
             load_scheduler_.record_weights(
@@ -481,6 +493,32 @@
     }
 }
 
+void app::handle_origin_note(std::string_view datagram)
+{
+    if (const auto note = stream_origin::decode_note(datagram))
+    {
+        noted_origins_.add(note.value(), monotonic_clock::now());
+    }
+}
+
+void app::answer_origin_question(
+    std::string_view datagram, const asio::ip::udp::endpoint& gateway)
+{
+    const auto question = stream_origin::decode_question(datagram);
+    if (!question)
+    {
+        return;
+    }
+    const auto answer =
+        noted_origins_.answer(question.value(), monotonic_clock::now());
+    telemetry::event("stream_origins_answered")
+        .with("gateway", gateway.address().to_string())
+        .with("streams", question.value().streams.size())
+        .with("known", answer.known.size())
+        .with("noted", noted_origins_.size());
+    send(stream_origin::encode(answer), gateway);
+}
+
 void app::schedule_prefill_update()
 {
     if (std::exchange(prefill_update_pending_, true))
--- a/src/agent/app.hpp
+++ b/src/agent/app.hpp
@@ -14,6 +14,7 @@
 #include "platform/settings_file.hpp"
 #include "platform/table_watcher.hpp"
 #include "serving/upstream.hpp"
+#include "stream_origin/noted_origins.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -72,6 +73,9 @@
     /// that the other gateways report for it.
     void send_status_to_gateways();
     void handle_prefill_report(std::string_view datagram);
+    void handle_origin_note(std::string_view datagram);
+    void answer_origin_question(
+        std::string_view datagram, const asio::ip::udp::endpoint& gateway);
     /// Sends the status to gateways after a short delay, so that one update
     /// covers all prefill reports that arrive within it.
     void schedule_prefill_update();
@@ -107,6 +111,8 @@
     mono_time agents_updated_at_;
     engine_status::prefill_report_table prefill_reports_;
     upstream_speed::speed_collector speed_;
+    /// Streams of any upstream that gateways noted here.
+    stream_origin::noted_origins noted_origins_;
     asio::steady_timer prefill_update_timer_;
     bool prefill_update_pending_ = false;
     mono_time load_logged_at_;
--- a/src/agent/slice.cmake
+++ b/src/agent/slice.cmake
@@ -1,1 +1,1 @@
-wagtail_slice(agent DEPENDS wagtail_cache_relay wagtail_engine_status wagtail_serving wagtail_platform wagtail_routing wagtail_telemetry fmt::fmt)
+wagtail_slice(agent DEPENDS wagtail_cache_relay wagtail_engine_status wagtail_serving wagtail_stream_origin wagtail_platform wagtail_routing wagtail_telemetry fmt::fmt)
--- a/src/core/ids.hpp
+++ b/src/core/ids.hpp
@@ -36,6 +36,9 @@
 /// Fencing token of a lease: increases with each change of its holder; 0 means
 /// none.
 using fencing_number = strong_id<struct fencing_number_tag, std::uint64_t>;
+/// Increases by one each time that the row store is restored from an older
+/// copy; 0 means unknown.
+using store_era = strong_id<struct store_era_tag, std::uint64_t>;
 
 using token_count = quantity<struct token_count_tag>;
 using byte_count = quantity<struct byte_count_tag>;
--- a/src/gateway/peer_directory.cpp
+++ b/src/gateway/peer_directory.cpp
@@ -225,6 +225,13 @@
     }
 }
 
+std::set<asio::ip::udp::endpoint> peer_directory::agents() const
+{
+    const auto addresses =
+        listeners_.addresses(engine_status::listener_role::agent);
+    return {addresses.begin(), addresses.end()};
+}
+
 std::vector<asio::ip::udp::endpoint> peer_directory::random_peers(
     std::size_t count) const
 {
--- a/src/gateway/peer_directory.hpp
+++ b/src/gateway/peer_directory.hpp
@@ -63,6 +63,8 @@
     void update_position();
     /// Sends a datagram to all other gateways.
     void send_to_all(const std::string& datagram) const;
+    /// Returns the addresses of the agents that the row store lists.
+    [[nodiscard]] std::set<asio::ip::udp::endpoint> agents() const;
     /// Returns at most `count` other gateways, chosen at random.
     [[nodiscard]] std::vector<asio::ip::udp::endpoint> random_peers(
         std::size_t count) const;
--- a/src/gateway/request_handler.hpp
+++ b/src/gateway/request_handler.hpp
@@ -392,6 +392,9 @@
     /// What began the stream. Only upstreams of this service and version may
     /// continue it. Unset before the first event of a new stream.
     std::optional<stream_origin::origin> stream_origin_;
+    /// Time after which an unknown origin may be known. Unset if that is not
+    /// foreseeable.
+    std::optional<duration> origin_known_in_;
     /// Whether the stream is among the open streams of this gateway.
     bool stream_recorded_ = false;
     /// Set from the dispatch of an attempt until its response begins.
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -473,13 +473,22 @@
                     .remaining +
                 jitter(restriction_return_time));
     }
-    const duration delay =
-        record_.code == result_code::queue_full && record_.overload
-            ? record_.overload->excess_wait +
-                  jitter(request_.route->latency_target)
-            : state_.upstreams.retry_after(
-                  request_.service, request_.data_centres,
-                  monotonic_clock::now());
+    const auto expected_delay = [&]() -> duration
+    {
+        if (record_.code == result_code::queue_full && record_.overload)
+        {
+            return record_.overload->excess_wait +
+                   jitter(request_.route->latency_target);
+        }
+        if (record_.code == result_code::stream_origin_unknown &&
+            origin_known_in_)
+        {
+            return *origin_known_in_ + jitter(request_.route->latency_target);
+        }
+        return state_.upstreams.retry_after(
+            request_.service, request_.data_centres, monotonic_clock::now());
+    };
+    const duration delay = expected_delay();
     return std::clamp<duration>(
         delay, min_retry_after,
         std::max<duration>(
--- a/src/gateway/request_handler_streams.cpp
+++ b/src/gateway/request_handler_streams.cpp
@@ -91,6 +91,10 @@
     if (known == nullptr)
     {
         record_.code = result_code::stream_origin_unknown;
+        if (const auto* const unknown = std::get_if<origin_unknown>(&found))
+        {
+            origin_known_in_ = unknown->known_in;
+        }
         co_return false;
     }
     const bool may_continue =
@@ -216,6 +220,7 @@
         stream_id(), unknown, target_of_stream(), monotonic_clock::now());
     // Other gateways would take a stream without a record for one of the single
     // version.
+    streams.note_origin(stream_id(), unknown, target.entry.id);
     const bool recorded =
         co_await streams.wait_until_recorded(streams.open.additions());
     if (recorded)
@@ -245,6 +250,7 @@
     const bool needs_record = streams.begin(
         stream_id(), *stream_origin_, target_of_stream(),
         monotonic_clock::now());
+    streams.note_origin(stream_id(), *stream_origin_, target.entry.id);
     if (needs_record)
     {
         // A stream whose version is known is not held back while the store does
--- a/src/gateway/shared_state.hpp
+++ b/src/gateway/shared_state.hpp
@@ -63,6 +63,8 @@
     /// Reads the list again at once, because an upstream has stated something
     /// newer.
     std::function<void()> refresh_upstream_list = [] {};
+    /// Reads at once whether the list is still the newest.
+    std::function<void()> confirm_upstream_list = [] {};
     serving::running_processes processes;
     serving::cache_view caches;
     /// When the operator's table was last read, or reported as unchanged.
--- a/src/gateway/state_updater.cpp
+++ b/src/gateway/state_updater.cpp
@@ -142,6 +142,7 @@
       statement_sync_(context, state, peers_),
       trial_claims_(context, state, row_store_, peers_),
       stream_origin_sync_(context, state, row_store_),
+      origin_note_sync_(context, state, peers_),
       cache_store_client_(
           context.get_executor(),
           {.connect_timeout = store_connect_timeout,
@@ -160,6 +161,7 @@
     statement_sync_.start();
     trial_claims_.start();
     stream_origin_sync_.start();
+    origin_note_sync_.start();
     asio::co_spawn(
         context_,
         engine_status::register_listener(
@@ -173,6 +175,7 @@
     state_.confirm_configuration = [this]
     { return configuration_check_.confirm(); };
     state_.refresh_upstream_list = [this] { upstream_table_.refresh(); };
+    state_.confirm_upstream_list = [this] { (void)upstream_table_.confirm(); };
     state_.on_pending_prefill_changed = [this](const auto& id)
     { send_prefill_report(id); };
     asio::co_spawn(context_, renew_prefill_reports(), asio::detached);
@@ -214,6 +217,10 @@
         {
             statement_sync_.handle_datagram(datagram);
         }
+        else if (stream_origin::is_origin_answer(datagram))
+        {
+            origin_note_sync_.handle_answer(datagram, sender);
+        }
         else
         {
             handle_status(datagram, sender);
@@ -239,6 +246,7 @@
     }
     previous = {status.incarnation, status.sequence_number};
     agent_endpoints_.insert_or_assign(status.upstream, sender);
+    origin_note_sync_.record_agent(status.upstream, sender);
     state_.upstreams.update_load(
         status.upstream,
         {.prompts_waiting = status.prompts_waiting,
--- a/src/gateway/state_updater.hpp
+++ b/src/gateway/state_updater.hpp
@@ -4,6 +4,7 @@
 #define WAGTAILSEAM_GATEWAY_STATE_UPDATER_HPP
 
 #include "gateway/configuration_check.hpp"
+#include "gateway/origin_note_sync.hpp"
 #include "gateway/peer_directory.hpp"
 #include "gateway/presence_sync.hpp"
 #include "gateway/quarantine_sync.hpp"
@@ -132,6 +133,7 @@
     statement_sync statement_sync_;
     trial_claims trial_claims_;
     stream_origin_sync stream_origin_sync_;
+    origin_note_sync origin_note_sync_;
     http::client cache_store_client_;
     /// Agent incarnation and sequence number of the last status of each engine.
     std::map<upstream_id, std::pair<std::uint64_t, std::uint64_t>> last_status_;
--- a/src/gateway/stream_origin_sync.cpp
+++ b/src/gateway/stream_origin_sync.cpp
@@ -37,7 +37,7 @@
 /// Time after which streams that broke off are looked through again.
 constexpr std::chrono::seconds expiry_interval{1};
 /// Other gateways may make the regime single again.
-constexpr std::chrono::seconds mixed_regime_reread_interval{10};
+constexpr std::chrono::seconds regime_reread_interval{10};
 /// Writes of a regime are spread over this time per gateway, so that the
 /// first of them spares the others theirs.
 constexpr std::chrono::milliseconds regime_write_spread{2};
@@ -47,6 +47,18 @@
     return std::to_string(number);
 }
 
+/// Returns whether all streams without a record that a caller may still resume
+/// began at the version that the regime names.
+bool is_certain(
+    const version_regime& regime, stream_origin::store_time store_now)
+{
+    const auto* const single =
+        std::get_if<stream_origin::single_version>(&regime);
+    return single != nullptr &&
+           (single->since == stream_origin::store_time::zero() ||
+            store_now - single->since >= stream_origin::max_stream_age);
+}
+
 } // namespace
 
 stream_origin_sync::stream_origin_sync(
@@ -123,7 +135,7 @@
 asio::awaitable<origin_lookup> stream_origin_sync::look_up(
     request_id stream, stream_origin::stream_target target)
 {
-    const auto read = co_await wait_for_read();
+    const auto read = co_await wait_for_read(stream, target);
     auto found = find_origin(*read, stream, target);
     co_return found;
 }
@@ -132,45 +144,119 @@
     const pending_read& read, const request_id& stream,
     const stream_origin::stream_target& target) const
 {
-    if (!read.rows)
+    const auto find_in =
+        [&](const stream_origin::origin_map& origins,
+            std::string_view source) -> std::optional<origin_lookup>
+    {
+        const auto found = origins.find(stream);
+        if (found == origins.end())
+        {
+            return std::nullopt;
+        }
+        return found->second.version
+                   ? origin_lookup(origin_known{found->second, source})
+                   : origin_unknown{};
+    };
+    if (read.rows)
     {
-        return origin_lookup_failed{read.failure};
+        if (const auto recorded = find_in(read.rows->origins, "record"))
+        {
+            return *recorded;
+        }
     }
-    const auto& rows = *read.rows;
-    const auto record = rows.origins.find(stream);
-    if (record != rows.origins.end())
+    if (const auto noted = find_in(read.noted.known, "agent"))
     {
-        return record->second.version
-                   ? origin_lookup(origin_known{record->second, "record"})
-                   : origin_unknown{};
+        return *noted;
     }
-    return find_unrecorded_origin(rows.regimes, target);
+    return read.rows ? find_unrecorded_origin(read, target)
+                     : origin_lookup_failed{read.failure};
 }
 
 origin_lookup stream_origin_sync::find_unrecorded_origin(
-    const regime_map& regimes, const stream_origin::stream_target& target) const
+    const pending_read& read, const stream_origin::stream_target& target) const
 {
-    std::optional<stream_origin::origin> found;
+    std::optional<origin_known> found;
     for (const auto& service :
          state_.streams.routes.candidates(target, monotonic_clock::now()))
     {
-        const auto regime = regimes.find(service);
-        const auto* const single =
-            regime == regimes.end()
-                ? nullptr
-                : std::get_if<stream_origin::single_version>(&regime->second);
-        if (single == nullptr || (found && found->version != single->version))
+        const auto unrecorded = find_unrecorded_version(read, service);
+        if (!unrecorded.version)
+        {
+            return origin_unknown{.known_in = unrecorded.known_in};
+        }
+        if (found && found->begun_by.version != unrecorded.version)
         {
             return origin_unknown{};
         }
-        found = stream_origin::origin{service, single->version};
+        found = origin_known{
+            .begun_by = {service, unrecorded.version},
+            .source = unrecorded.source};
+    }
+    return found ? origin_lookup(*found) : origin_unknown{};
+}
+
+bool stream_origin_sync::covers_unrecorded(
+    const snapshot& rows, const stream_origin::stream_target& target) const
+{
+    const auto services =
+        state_.streams.routes.candidates(target, monotonic_clock::now());
+    return std::all_of(
+        services.begin(), services.end(),
+        [&](const auto& service)
+        {
+            const auto regime = rows.regimes.find(service);
+            return regime != rows.regimes.end() &&
+                   is_certain(regime->second, rows.store_now);
+        });
+}
+
+stream_origin_sync::unrecorded_version
+stream_origin_sync::find_unrecorded_version(
+    const pending_read& read, const serving::service_id& service) const
+{
+    const auto regime = read.rows->regimes.find(service);
+    const auto tracker = state_.streams.regimes.find(service);
+    if (regime == read.rows->regimes.end())
+    {
+        return {};
+    }
+    if (is_certain(regime->second, read.rows->store_now))
+    {
+        return {
+            .version = stream_origin::named_version(regime->second),
+            .source = "regime"};
+    }
+    const auto named = stream_origin::named_version(regime->second);
+    if (!named || tracker == state_.streams.regimes.end())
+    {
+        return {};
+    }
+    // Other versions may have begun streams whose records the store lost. They
+    // are listed again soon, and agents know of their streams.
+    const auto now = monotonic_clock::now();
+    const auto settles_in = tracker->second.settles_in(now);
+    if (settles_in != duration::zero())
+    {
+        if (tracker->second.needs_list(now))
+        {
+            state_.confirm_upstream_list();
+        }
+        return {.known_in = settles_in};
     }
-    return found ? origin_lookup(origin_known{*found, "regime"})
-                 : origin_unknown{};
+    const bool is_contradicted = std::any_of(
+        read.noted.recent.begin(), read.noted.recent.end(),
+        [&](const auto& noted)
+        { return noted.service == service && noted.version != named; });
+    if (is_contradicted || read.noted.is_partial)
+    {
+        return {};
+    }
+    return {.version = named, .source = "list"};
 }
 
 asio::awaitable<std::shared_ptr<const stream_origin_sync::pending_read>>
-stream_origin_sync::wait_for_read()
+stream_origin_sync::wait_for_read(
+    request_id stream, stream_origin::stream_target target)
 {
     const bool is_first = next_read_ == nullptr;
     if (is_first)
@@ -180,6 +266,7 @@
     }
     // The coroutine may take the read before co_spawn() returns.
     const auto pending = next_read_;
+    pending->streams.insert_or_assign(std::move(stream), std::move(target));
     if (is_first && !reading_)
     {
         asio::co_spawn(context_, run_reads(), asio::detached);
@@ -207,11 +294,33 @@
             current->failure = outcome.error().detail;
             state_.metrics.count("wagtail_stream_record_read_failures_total");
         }
+        co_await ask_agents(*current);
         current->done.cancel();
     }
     reading_ = false;
 }
 
+asio::awaitable<void> stream_origin_sync::ask_agents(pending_read& read)
+{
+    std::vector<request_id> unknown;
+    for (const auto& [stream, target] : read.streams)
+    {
+        const bool is_recorded =
+            read.rows && read.rows->origins.contains(stream);
+        const bool is_covered =
+            read.rows && covers_unrecorded(*read.rows, target);
+        if (!is_recorded && !is_covered)
+        {
+            unknown.push_back(stream);
+        }
+    }
+    if (!unknown.empty())
+    {
+        auto noted = co_await state_.streams.ask_agents(std::move(unknown));
+        read.noted = std::move(noted);
+    }
+}
+
 asio::awaitable<result<stream_origin_sync::snapshot>>
 stream_origin_sync::read_snapshot()
 {
@@ -250,6 +359,7 @@
         co_return boost::outcome_v2::failure(regimes.error());
     }
     read.regimes = decode_regimes(regimes.value());
+    read.store_now = regimes.value().store_now;
     co_return read;
 }
 
@@ -257,7 +367,9 @@
     const platform::row_set& rows)
 {
     regime_map regimes;
+    const auto now = monotonic_clock::now();
     regime_rows_.clear();
+    regimes_store_time_ = rows.store_now;
     for (const auto& row : rows.rows)
     {
         const serving::service_id service{row.key};
@@ -273,7 +385,8 @@
         regime_rows_.emplace(service, row.version);
         // A row that cannot be decoded permits no assumption.
         regimes.emplace(
-            service, regime ? regime.value()
+            service, regime ? stream_origin::regime_in_era(
+                                  regime.value(), rows.position.era, now)
                             : version_regime(stream_origin::mixed_versions{}));
     }
     return regimes;
@@ -453,19 +566,23 @@
         const bool needs_read = std::any_of(
             regimes.begin(), regimes.end(),
             [](const auto& entry) { return entry.second.needs_read(); });
-        const bool any_mixed = std::any_of(
+        const bool any_to_reread = std::any_of(
             regimes.begin(), regimes.end(),
             [](const auto& entry)
             {
+                const auto& regime = entry.second.regime();
                 return std::holds_alternative<stream_origin::mixed_versions>(
-                    entry.second.regime());
+                           regime) ||
+                       std::holds_alternative<stream_origin::lapsed_version>(
+                           regime);
             });
-        const bool is_old = monotonic_clock::now() - regimes_read_at_ >=
-                            mixed_regime_reread_interval;
-        if (needs_read || (any_mixed && is_old))
+        const bool is_old =
+            monotonic_clock::now() - regimes_read_at_ >= regime_reread_interval;
+        if (needs_read || (any_to_reread && is_old))
         {
             (void)co_await read_regimes();
         }
+        confirm_list_if_lapsed();
         if (!due_regimes().empty())
         {
             co_await write_due_regimes();
@@ -511,7 +628,7 @@
     regime_map due;
     for (const auto& [service, tracker] : state_.streams.regimes)
     {
-        if (auto wanted = tracker.due_write(now))
+        if (auto wanted = tracker.due_write(now, regimes_store_time_))
         {
             due.emplace(service, std::move(*wanted));
         }
@@ -519,6 +636,24 @@
     return due;
 }
 
+void stream_origin_sync::confirm_list_if_lapsed()
+{
+    const auto now = monotonic_clock::now();
+    const bool is_needed = std::any_of(
+        state_.streams.regimes.begin(), state_.streams.regimes.end(),
+        [&](const auto& entry)
+        {
+            const auto& tracker = entry.second;
+            return std::holds_alternative<stream_origin::lapsed_version>(
+                       tracker.regime()) &&
+                   tracker.needs_list(now);
+        });
+    if (is_needed)
+    {
+        state_.confirm_upstream_list();
+    }
+}
+
 asio::awaitable<bool> stream_origin_sync::read_regimes()
 {
     const auto rows = co_await row_store_.read_table(version_regime_table);
@@ -558,8 +693,11 @@
     const auto row = regime_rows_.find(service);
     const auto expected =
         row == regime_rows_.end() ? platform::store_version{0} : row->second;
+    const auto era = row_store_.era();
     const platform::row_change change{
-        .key = service.value(), .value = stream_origin::encode(wanted)};
+        .key = service.value(),
+        .value = stream_origin::encode(
+            stream_origin::regime_record{.regime = wanted, .era = era})};
     const auto written =
         co_await row_store_.write_if(version_regime_table, change, expected);
     if (!written)
@@ -570,14 +708,16 @@
             .with("detail", written.error().detail);
         co_return;
     }
-    if (const auto* const position =
-            std::get_if<platform::store_position>(&written.value()))
+    const auto* const position =
+        std::get_if<platform::store_position>(&written.value());
+    if (position != nullptr && position->era == era)
     {
         regime_rows_.insert_or_assign(service, position->version);
         set_regime(service, wanted, "written");
         co_return;
     }
-    // Another gateway wrote the row, so it is read again.
+    // Another gateway wrote the row, or the store returned from a copy before
+    // it executed the write.
     (void)co_await read_regimes();
 }
 
--- a/src/gateway/stream_origin_sync.hpp
+++ b/src/gateway/stream_origin_sync.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace wagtailseam::gateway
@@ -56,12 +57,16 @@
     {
         stream_origin::origin_map origins;
         regime_map regimes;
+        /// Time of the store's clock.
+        stream_origin::store_time store_now{};
     };
     /// A read that one or more lookups wait for.
     struct pending_read
     {
         explicit pending_read(asio::io_context& context) : done(context) {}
 
+        /// The streams that are looked up.
+        std::map<request_id, stream_origin::stream_target> streams;
         /// Expires when the lookups give up, and is cancelled when the read
         /// has ended.
         asio::steady_timer done;
@@ -69,6 +74,8 @@
         std::optional<snapshot> rows;
         /// Why there are no rows.
         std::string failure = "the records were not read in time";
+        /// What agents know of streams that the rows do not tell.
+        noted_streams noted;
     };
 
     asio::awaitable<origin_lookup> look_up(
@@ -79,11 +86,29 @@
     /// Returns the origin of a stream without a record, if all services that
     /// may have begun it have the same single version.
     [[nodiscard]] origin_lookup find_unrecorded_origin(
-        const regime_map& regimes,
+        const pending_read& read,
         const stream_origin::stream_target& target) const;
-    /// Returns a read that began after the call.
-    asio::awaitable<std::shared_ptr<const pending_read>> wait_for_read();
+    /// Returns whether the regimes of all services that may have begun a stream
+    /// without a record tell its version.
+    [[nodiscard]] bool covers_unrecorded(
+        const snapshot& rows, const stream_origin::stream_target& target) const;
+    /// Returns the version at which the streams without a record of a service
+    /// began, and how that is known; without a version if it is not known.
+    struct unrecorded_version
+    {
+        std::optional<serving::software_version> version;
+        std::string_view source;
+        /// Time after which the version may be known.
+        std::optional<duration> known_in;
+    };
+    [[nodiscard]] unrecorded_version find_unrecorded_version(
+        const pending_read& read, const serving::service_id& service) const;
+    /// Returns a read that began after the call and covers the stream.
+    asio::awaitable<std::shared_ptr<const pending_read>> wait_for_read(
+        request_id stream, stream_origin::stream_target target);
     asio::awaitable<void> run_reads();
+    /// Asks the agents about the streams that the rows do not tell.
+    asio::awaitable<void> ask_agents(pending_read& read);
     asio::awaitable<result<snapshot>> read_snapshot();
     /// Reads the regimes of all services and applies them.
     asio::awaitable<bool> read_regimes();
@@ -108,6 +133,9 @@
     asio::awaitable<void> follow_regimes();
     /// Adds and removes trackers, and passes the listed versions to them.
     void update_trackers();
+    /// Reads the list again where only that is missing to trust a lapsed
+    /// version again.
+    void confirm_list_if_lapsed();
     /// Returns the regimes that have to be written.
     [[nodiscard]] regime_map due_regimes() const;
     asio::awaitable<void> write_due_regimes();
@@ -134,6 +162,8 @@
     /// Versions of the regimes' rows as last read.
     std::map<serving::service_id, platform::store_version> regime_rows_;
     mono_time regimes_read_at_;
+    /// Time of the store's clock when the regimes were last read.
+    stream_origin::store_time regimes_store_time_{};
     /// Additions to the open streams that the record contains.
     std::uint64_t recorded_additions_ = 0;
     /// Whether the last write of the record failed.
--- a/src/gateway/stream_origins.hpp
+++ b/src/gateway/stream_origins.hpp
@@ -15,9 +15,11 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace wagtailseam::gateway
 {
@@ -27,7 +29,7 @@
 {
     /// @invariant the version is set
     stream_origin::origin begun_by;
-    /// "gateway", "record" or "regime", for the log.
+    /// "gateway", "record", "agent", "regime" or "list", for the log.
     std::string_view source;
 };
 
@@ -35,6 +37,9 @@
 /// its gateway did not know which process did.
 struct origin_unknown
 {
+    /// Time after which it may be known without a record; unset if that is not
+    /// foreseeable.
+    std::optional<duration> known_in;
 };
 
 /// The records could not be read.
@@ -46,6 +51,17 @@
 using origin_lookup =
     std::variant<origin_known, origin_unknown, origin_lookup_failed>;
 
+/// What agents know of streams.
+struct noted_streams
+{
+    stream_origin::origin_map known;
+    /// All origins that gateways noted within the time for which callers resume
+    /// a stream.
+    std::set<stream_origin::origin> recent;
+    /// Whether an agent had no room for all that it knows.
+    bool is_partial = false;
+};
+
 /// The part of the shared state that concerns streams which a caller or the
 /// gateway resumes.
 struct stream_origins
@@ -71,6 +87,18 @@
         wait_until_recorded = [](auto) -> boost::asio::awaitable<bool>
     { co_return true; };
 
+    /// Notes the origin of a stream outside the row store, at the agent beside
+    /// the upstream that sends it.
+    std::function<void(
+        const request_id& stream, const stream_origin::origin& begun_by,
+        const upstream_id& upstream)>
+        note_origin = [](const auto&, const auto&, const auto&) {};
+    /// Asks the agents about streams.
+    std::function<boost::asio::awaitable<noted_streams>(
+        std::vector<request_id> streams)>
+        ask_agents = [](auto) -> boost::asio::awaitable<noted_streams>
+    { co_return noted_streams{}; };
+
     /// Returns whether the regime of its service requires a record of a stream
     /// that begins at this origin.
     [[nodiscard]] bool needs_record(
--- a/src/stream_origin/route_record.hpp
+++ b/src/stream_origin/route_record.hpp
@@ -5,9 +5,9 @@
 
 #include "core/ids.hpp"
 #include "core/result.hpp"
+#include "stream_origin/stream_origin.hpp"
 #include "stream_origin/stream_routes.hpp"
 
-#include <chrono>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,9 +15,6 @@
 namespace wagtailseam::stream_origin
 {
 
-/// Time of the row store's clock, which all gateways read.
-using store_time = std::chrono::milliseconds;
-
 /// Routes that a newer configuration has replaced.
 struct replaced_routes
 {
--- a/src/stream_origin/stream_origin.hpp
+++ b/src/stream_origin/stream_origin.hpp
@@ -6,11 +6,19 @@
 
 #include "serving/ids.hpp"
 
+#include <chrono>
 #include <optional>
 
 namespace wagtailseam::stream_origin
 {
 
+/// Time of the row store's clock, which all gateways read.
+using store_time = std::chrono::milliseconds;
+
+/// Time within which every stream that has begun is complete, or its caller
+/// has given it up. Deadlines are at most 15 s.
+inline constexpr std::chrono::seconds max_stream_age{20};
+
 struct origin
 {
     serving::service_id service;
--- a/src/stream_origin/test/version_regime_test.cpp
+++ b/src/stream_origin/test/version_regime_test.cpp
@@ -14,11 +14,19 @@
 
 const software_version old_version{"1"};
 const software_version new_version{"2"};
-const version_regime only_old = single_version{old_version};
-const version_regime only_new = single_version{new_version};
+const version_regime only_old = single_version{.version = old_version};
+const version_regime only_new = single_version{.version = new_version};
 const version_regime mixed = mixed_versions{};
+const store_era first_era{1};
+const store_era second_era{2};
+const version_regime lapsed_old = regime_in_era(
+    {.regime = only_old, .era = first_era}, second_era,
+    mono_time(seconds(1000)));
+constexpr store_time written_at{90'000};
 constexpr regime_tracker_options options{
-    .quiet_time = seconds(45), .max_list_gap = seconds(8)};
+    .quiet_time = seconds(45),
+    .max_list_gap = seconds(8),
+    .return_time = seconds(3)};
 
 class regime_tracker_fixture : public testing::Test
 {
@@ -179,12 +187,124 @@
     }
 }
 
+/// Guards against streams without a record that began before the row, in a
+/// store that returned from a copy without it.
+TEST_F(regime_tracker_fixture, regime_of_an_absent_row_says_since_when_it_holds)
+{
+    tracker_.set_regime(absent_regime{});
+    list({old_version});
+    EXPECT_EQ(
+        tracker_.due_write(now_, written_at),
+        version_regime(
+            single_version{.version = old_version, .since = written_at}));
+}
+
+/// Guards against streams that go on at the version that the row named before a
+/// release, of which the store has lost all rows.
+TEST_F(regime_tracker_fixture, regime_of_an_earlier_era_records_each_stream)
+{
+    list({old_version});
+    tracker_.set_regime(lapsed_old);
+    EXPECT_TRUE(tracker_.needs_record(old_version));
+    EXPECT_FALSE(tracker_.begins_at());
+    EXPECT_FALSE(tracker_.needs_read());
+    EXPECT_FALSE(due_write());
+}
+
+TEST_F(regime_tracker_fixture, regime_of_an_earlier_era_settles_with_the_list)
+{
+    list({old_version});
+    tracker_.set_regime(lapsed_old);
+    EXPECT_EQ(tracker_.settles_in(now_), duration(seconds(3)));
+    list_for(seconds(2), {old_version});
+    EXPECT_EQ(tracker_.settles_in(now_), duration(seconds(1)));
+    EXPECT_FALSE(due_write());
+    // Reading the row once more does not begin the time again.
+    tracker_.set_regime(
+        lapsed_version{.version = old_version, .read_at = now_});
+    list_for(seconds(1), {old_version});
+    EXPECT_EQ(tracker_.settles_in(now_), duration::zero());
+    EXPECT_EQ(
+        tracker_.due_write(now_, written_at),
+        version_regime(
+            single_version{.version = old_version, .since = written_at}));
+}
+
+TEST_F(
+    regime_tracker_fixture, version_settles_only_by_a_list_that_is_read_later)
+{
+    list({old_version});
+    tracker_.set_regime(lapsed_old);
+    EXPECT_FALSE(tracker_.needs_list(now_));
+    now_ += seconds(3);
+    EXPECT_TRUE(tracker_.needs_list(now_));
+    EXPECT_NE(tracker_.settles_in(now_), duration::zero());
+    list({old_version});
+    EXPECT_FALSE(tracker_.needs_list(now_));
+    EXPECT_EQ(tracker_.settles_in(now_), duration::zero());
+}
+
+TEST_F(regime_tracker_fixture, second_return_of_the_store_begins_the_time_again)
+{
+    list({old_version});
+    tracker_.set_regime(lapsed_old);
+    list_for(seconds(3), {old_version});
+    EXPECT_EQ(tracker_.settles_in(now_), duration::zero());
+    tracker_.set_regime(unknown_regime{});
+    tracker_.set_regime(
+        lapsed_version{.version = old_version, .read_at = now_});
+    EXPECT_EQ(tracker_.settles_in(now_), duration(seconds(3)));
+}
+
+TEST_F(
+    regime_tracker_fixture,
+    other_listed_version_ends_a_regime_of_an_earlier_era)
+{
+    tracker_.set_regime(lapsed_old);
+    list({old_version, new_version});
+    EXPECT_FALSE(tracker_.settles_in(now_));
+    EXPECT_EQ(due_write(), mixed);
+    list({new_version});
+    EXPECT_FALSE(tracker_.settles_in(now_));
+    EXPECT_EQ(due_write(), mixed);
+}
+
+TEST_F(regime_tracker_fixture, version_does_not_settle_by_an_old_list)
+{
+    list({old_version});
+    tracker_.set_regime(lapsed_old);
+    list_for(seconds(3), {old_version});
+    now_ += seconds(9);
+    EXPECT_FALSE(tracker_.settles_in(now_));
+    EXPECT_FALSE(due_write());
+}
+
+TEST(version_regime, record_holds_in_its_own_era_only)
+{
+    const regime_record record{.regime = only_old, .era = first_era};
+    EXPECT_EQ(regime_in_era(record, first_era, mono_time{}), only_old);
+    EXPECT_EQ(regime_in_era(record, second_era, mono_time{}), lapsed_old);
+    EXPECT_EQ(named_version(lapsed_old), old_version);
+    const regime_record mixed_record{.regime = mixed, .era = first_era};
+    EXPECT_EQ(regime_in_era(mixed_record, second_era, mono_time{}), mixed);
+}
+
+/// Rows of the release before this one have no era.
+TEST(version_regime, record_without_an_era_holds_in_none)
+{
+    const auto decoded = decode_regime(R"({"single":"1"})");
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(
+        regime_in_era(decoded.value(), first_era, mono_time{}), lapsed_old);
+}
+
 TEST(version_regime, name_contains_the_single_version)
 {
     EXPECT_EQ(name(unknown_regime{}), "unknown");
     EXPECT_EQ(name(absent_regime{}), "absent");
     EXPECT_EQ(name(only_old), "single:1");
     EXPECT_EQ(name(mixed), "mixed");
+    EXPECT_EQ(name(lapsed_old), "lapsed:1");
 }
 
 TEST(version_regime, malformed_value_is_named_in_the_error)
@@ -204,11 +324,18 @@
 {
     const auto text =
         *rc::gen::container<std::string>(rc::gen::inRange<char>(1, 127));
-    const version_regime regime = single_version{software_version{text}};
-    const auto decoded = decode_regime(encode(regime));
+    const store_era era{*rc::gen::arbitrary<std::uint64_t>()};
+    const auto since = *rc::gen::inRange<std::int64_t>(0, 1LL << 40);
+    const regime_record single{
+        .regime =
+            single_version{
+                .version = software_version{text}, .since = store_time(since)},
+        .era = era};
+    const auto decoded = decode_regime(encode(single));
     RC_ASSERT(decoded.has_value());
-    RC_ASSERT(decoded.value() == regime);
-    RC_ASSERT(decode_regime(encode(mixed)).value() == mixed);
+    RC_ASSERT(decoded.value() == single);
+    const regime_record several{.regime = mixed, .era = era};
+    RC_ASSERT(decode_regime(encode(several)).value() == several);
 }
 
 } // namespace
--- a/src/stream_origin/version_regime.hpp
+++ b/src/stream_origin/version_regime.hpp
@@ -6,6 +6,7 @@
 #include "core/clock.hpp"
 #include "core/result.hpp"
 #include "serving/ids.hpp"
+#include "stream_origin/stream_origin.hpp"
 
 #include <optional>
 #include <set>
@@ -32,6 +33,9 @@
 struct single_version
 {
     serving::software_version version;
+    /// Streams that are older than this may have begun at another version; zero
+    /// if no caller can resume such a stream any more.
+    store_time since{};
 
     friend bool operator==(const single_version&, const single_version&) =
         default;
@@ -43,17 +47,53 @@
     friend bool operator==(mixed_versions, mixed_versions) = default;
 };
 
-using version_regime =
-    std::variant<unknown_regime, absent_regime, single_version, mixed_versions>;
+/// The row names a single version but was written before the store returned
+/// from an older copy. Later rows are lost, so streams without a record may
+/// have begun at any version.
+struct lapsed_version
+{
+    serving::software_version version;
+    /// When it was first read since the store returned.
+    mono_time read_at;
+
+    friend bool operator==(
+        const lapsed_version& left, const lapsed_version& right)
+    {
+        return left.version == right.version;
+    }
+};
+
+using version_regime = std::variant<
+    unknown_regime, absent_regime, single_version, mixed_versions,
+    lapsed_version>;
 
-/// Returns the name of the regime in logs, with the version if it is single.
+/// The value of a regime's row.
+struct regime_record
+{
+    /// @invariant single_version or mixed_versions
+    version_regime regime;
+    /// Era of the store for which it was written; zero if the row does not say.
+    store_era era;
+
+    friend bool operator==(const regime_record&, const regime_record&) =
+        default;
+};
+
+/// Returns the name of the regime in logs, with the version if it names one.
 [[nodiscard]] std::string name(const version_regime& regime);
 
-/// Encodes a regime as JSON for the value of a table row.
-/// @pre regime is single_version or mixed_versions
-[[nodiscard]] std::string encode(const version_regime& regime);
+/// Encodes a record as JSON for the value of a table row.
+[[nodiscard]] std::string encode(const regime_record& record);
 /// @errors malformed_message: contains the value
-[[nodiscard]] result<version_regime> decode_regime(std::string_view value);
+[[nodiscard]] result<regime_record> decode_regime(std::string_view value);
+
+/// Returns what a record tells in an era of the store.
+[[nodiscard]] version_regime regime_in_era(
+    const regime_record& record, store_era current, mono_time read_at);
+
+/// Returns the version that a regime names, if any.
+[[nodiscard]] std::optional<serving::software_version> named_version(
+    const version_regime& regime);
 
 struct regime_tracker_options
 {
@@ -65,6 +105,9 @@
     /// Versions may have come and gone unseen between two reads of the list
     /// that are further apart.
     duration max_list_gap = std::chrono::seconds(8);
+    /// Time within which upstreams are listed again after the store returned
+    /// from a copy that lacks them: about two seconds.
+    duration return_time = std::chrono::seconds(3);
 };
 
 /// Decides when the regime of one service changes, and what it permits. A
@@ -87,7 +130,15 @@
     [[nodiscard]] bool needs_read() const;
 
     /// Returns the regime that has to be written, if any.
-    [[nodiscard]] std::optional<version_regime> due_write(mono_time now) const;
+    /// @param store_now time of the store's clock, just before the write
+    [[nodiscard]] std::optional<version_regime> due_write(
+        mono_time now, store_time store_now = {}) const;
+    /// Returns the time until only the version that the regime names has been
+    /// listed for the time in which upstreams are listed again. Zero: it has;
+    /// nullopt: another version is listed, or the regime names none.
+    [[nodiscard]] std::optional<duration> settles_in(mono_time now) const;
+    /// Returns whether the named version settles once the list is read again.
+    [[nodiscard]] bool needs_list(mono_time now) const;
     /// Returns whether a stream that begins at a version has to be recorded.
     [[nodiscard]] bool needs_record(
         const serving::software_version& version) const;
@@ -100,8 +151,11 @@
     }
 
 private:
-    /// Returns whether the only listed version is the single one.
+    /// Returns whether the only listed version is the one that a regime names.
     [[nodiscard]] bool is_covered(const version_regime& regime) const;
+    /// Returns when only the named version has been listed for long enough. A
+    /// list that is read from then on shows it. @pre is_covered(regime_)
+    [[nodiscard]] mono_time settling_time() const;
 
     regime_tracker_options options_;
     version_regime regime_;
