Gateway: a status that promises "not run" needs the upstream's statement

Cause: the promise of 408, 429 and 503 was taken from the status that an upstream chose. A response without the statement that it was not executed counted as run, but was forwarded as it was where no retry was possible: for requests that may run once, for 429 and 408 on every route, for the last response to a repeatable request, and for the first head of a stream. The statement itself was believed in any form: twice, with another value, or beside a success, which led to a second run.

Change: check_response_head, which sees each head of an upstream, decides by whether the request may have run. Without a statement (one field, value 1, no success) such a status is a failed attempt: tried elsewhere where that is allowed, else answered 502 outcome_unknown without the stamp (MIXED binds the status to it). The log keeps the upstream's status. 421 remains a statement by itself, as RULES.md says.

Ruled out: refusals of the gateway's own, responses to earlier requests.

--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -140,10 +140,20 @@
     const bool is_other_content =
         response_head_sent_ && (stream.head().status != record_.status ||
                                 !is_event_stream(stream.head()));
-    if (is_other_content || (is_server_error && may_retry()))
+    // The request may have run, so the status must not reach the caller.
+    const bool is_unfounded = response.promises_not_run;
+    if (is_other_content || is_unfounded || (is_server_error && may_retry()))
     {
-        failure_detail_ = "status " + std::to_string(stream.head().status) +
-                          (is_other_content ? " instead of more events" : "");
+        failure_detail_ = "status " + std::to_string(stream.head().status);
+        if (is_other_content)
+        {
+            failure_detail_ += " instead of more events";
+        }
+        else if (is_unfounded)
+        {
+            failure_detail_ += " although it may have run";
+            state_.metrics.count("wagtail_unfounded_promises_total");
+        }
         end_attempt(target, serving::response_failed{});
         record_.code = result_code::outcome_unknown;
         co_return may_retry() ? next_step::retry : next_step::give_up;
@@ -187,7 +197,7 @@
     {
         co_return;
     }
-    auto head = platform::strip_hop_by_hop_headers(upstream_head);
+    auto head = platform::make_forwarded_head(upstream_head);
     record_.status = head.status;
     if (is_resumable_stream())
     {
