Gateway: forget agents that fell silent, bound the delay of unknown origins

The list of agents grew with each upstream id. The random part of Retry-After no longer depends on the route's latency target, which may be zero.

--- a/src/gateway/origin_note_sync.cpp
+++ b/src/gateway/origin_note_sync.cpp
@@ -47,16 +47,17 @@
         upstream, agent_contact{.address = address, .heard_at = now});
 }
 
-std::vector<asio::ip::udp::endpoint> origin_note_sync::heard_agents() const
+std::vector<asio::ip::udp::endpoint> origin_note_sync::heard_agents()
 {
     const auto now = monotonic_clock::now();
+    std::erase_if(
+        agents_, [&](const auto& entry)
+        { return now - entry.second.heard_at >= max_agent_silence; });
     std::vector<asio::ip::udp::endpoint> addresses;
+    addresses.reserve(agents_.size());
     for (const auto& [upstream, agent] : agents_)
     {
-        if (now - agent.heard_at < max_agent_silence)
-        {
-            addresses.push_back(agent.address);
-        }
+        addresses.push_back(agent.address);
     }
     return addresses;
 }
@@ -67,12 +68,12 @@
 {
     const auto datagram =
         stream_origin::encode(stream_origin::origin_note{stream, begun_by});
-    const auto own = agents_.find(upstream);
     if (datagram.empty())
     {
         return;
     }
     auto others = heard_agents();
+    const auto own = agents_.find(upstream);
     if (others.empty())
     {
         // Agents that this gateway has read of may not know it yet.
--- a/src/gateway/origin_note_sync.hpp
+++ b/src/gateway/origin_note_sync.hpp
@@ -67,12 +67,13 @@
         const request_id& stream, const stream_origin::origin& begun_by,
         const upstream_id& upstream);
     asio::awaitable<noted_streams> ask(std::vector<request_id> streams);
-    /// Returns the addresses of agents that sent a datagram lately.
-    [[nodiscard]] std::vector<asio::ip::udp::endpoint> heard_agents() const;
+    /// Forgets agents that fell silent. Returns the addresses of the others.
+    [[nodiscard]] std::vector<asio::ip::udp::endpoint> heard_agents();
 
     asio::io_context& context_;
     shared_state& state_;
     peer_directory& peers_;
+    /// By the upstream beside which the agent runs.
     std::map<upstream_id, agent_contact> agents_;
     /// By the number of each question.
     std::map<std::uint64_t, std::shared_ptr<pending_inquiry>> inquiries_;
--- a/src/gateway/request_handler_response.cpp
+++ b/src/gateway/request_handler_response.cpp
@@ -493,7 +493,7 @@
         if (record_.code == result_code::stream_origin_unknown &&
             origin_known_in_)
         {
-            return *origin_known_in_ + jitter(request_.route->latency_target);
+            return *origin_known_in_ + jitter(restriction_return_time);
         }
         return state_.upstreams.retry_after(
             request_.service, request_.data_centres, monotonic_clock::now());
--- a/src/gateway/stream_origin_sync.cpp
+++ b/src/gateway/stream_origin_sync.cpp
@@ -256,7 +256,7 @@
 
 asio::awaitable<std::shared_ptr<const stream_origin_sync::pending_read>>
 stream_origin_sync::wait_for_read(
-    request_id stream, stream_origin::stream_target target)
+    const request_id& stream, const stream_origin::stream_target& target)
 {
     const bool is_first = next_read_ == nullptr;
     if (is_first)
@@ -266,7 +266,7 @@
     }
     // The coroutine may take the read before co_spawn() returns.
     const auto pending = next_read_;
-    pending->streams.insert_or_assign(std::move(stream), std::move(target));
+    pending->streams.insert_or_assign(stream, target);
     if (is_first && !reading_)
     {
         asio::co_spawn(context_, run_reads(), asio::detached);
--- a/src/gateway/stream_origin_sync.hpp
+++ b/src/gateway/stream_origin_sync.hpp
@@ -92,20 +92,22 @@
     /// without a record tell its version.
     [[nodiscard]] bool covers_unrecorded(
         const snapshot& rows, const stream_origin::stream_target& target) const;
-    /// Returns the version at which the streams without a record of a service
-    /// began, and how that is known; without a version if it is not known.
+    /// The version at which the streams without a record of a service began.
     struct unrecorded_version
     {
+        /// Unset if it is not known.
         std::optional<serving::software_version> version;
+        /// How it is known, for the log.
         std::string_view source;
         /// Time after which the version may be known.
         std::optional<duration> known_in;
     };
+    /// @pre read.rows is set
     [[nodiscard]] unrecorded_version find_unrecorded_version(
         const pending_read& read, const serving::service_id& service) const;
     /// Returns a read that began after the call and covers the stream.
     asio::awaitable<std::shared_ptr<const pending_read>> wait_for_read(
-        request_id stream, stream_origin::stream_target target);
+        const request_id& stream, const stream_origin::stream_target& target);
     asio::awaitable<void> run_reads();
     /// Asks the agents about the streams that the rows do not tell.
     asio::awaitable<void> ask_agents(pending_read& read);
