Gateway: presume no version before the agents have answered

Found by reading, before the landing: a lookup that ended after the rows were read, and before the agents answered, took the stream for one of the listed version. It now stays unknown, also if an agent that runs did not answer, or was not asked.

Test: lapsed_regime_test.version_is_not_presumed_before_agents_answer failed before.

--- a/src/gateway/origin_note_sync.cpp
+++ b/src/gateway/origin_note_sync.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <string>
 
 namespace wagtailseam::gateway
@@ -101,8 +102,10 @@
     inquiry->questions =
         stream_origin::make_questions(streams, state_.random.bits());
     const auto began_at = monotonic_clock::now();
+    std::size_t asked = 0;
     for (const auto& question : inquiry->questions)
     {
+        asked += question.streams.size();
         inquiries_.insert_or_assign(question.number, inquiry);
         const auto datagram = stream_origin::encode(question);
         for (const auto& agent : agents)
@@ -111,6 +114,7 @@
             peers_.send(datagram, agent);
         }
     }
+    inquiry->found.is_partial = asked < streams.size();
     if (!inquiry->missing.empty())
     {
         inquiry->done.expires_after(answer_timeout);
@@ -119,6 +123,13 @@
     for (const auto& question : inquiry->questions)
     {
         inquiries_.erase(question.number);
+        inquiry->found.is_partial =
+            inquiry->found.is_partial ||
+            std::any_of(
+                heard.begin(), heard.end(),
+                [&](const auto& agent) {
+                    return inquiry->missing.contains({question.number, agent});
+                });
     }
     telemetry::event("stream_origins_asked")
         .with("streams", streams.size())
@@ -154,7 +165,8 @@
     }
     inquiry.found.recent.insert(
         answer.value().recent.begin(), answer.value().recent.end());
-    inquiry.found.is_partial |= answer.value().is_partial;
+    inquiry.found.is_partial =
+        inquiry.found.is_partial || answer.value().is_partial;
     inquiry.missing.erase({found->first, sender});
     if (inquiry.missing.empty())
     {
--- a/src/gateway/stream_origin_sync.cpp
+++ b/src/gateway/stream_origin_sync.cpp
@@ -164,9 +164,12 @@
             return *recorded;
         }
     }
-    if (const auto noted = find_in(read.noted.known, "agent"))
+    if (read.noted)
     {
-        return *noted;
+        if (const auto noted = find_in(read.noted->known, "agent"))
+        {
+            return *noted;
+        }
     }
     return read.rows ? find_unrecorded_origin(read, target)
                      : origin_lookup_failed{read.failure};
@@ -243,15 +246,18 @@
         }
         return {.known_in = settles_in};
     }
-    const bool is_contradicted = std::any_of(
-        read.noted.recent.begin(), read.noted.recent.end(),
-        [&](const auto& noted)
-        { return noted.service == service && noted.version != named; });
-    if (is_contradicted || read.noted.is_partial)
+    if (!read.noted || read.noted->is_partial)
     {
         return {};
     }
-    return {.version = named, .source = "list"};
+    const auto& recent = read.noted->recent;
+    const bool is_contradicted = std::any_of(
+        recent.begin(), recent.end(),
+        [&](const auto& noted)
+        { return noted.service == service && noted.version != named; });
+    return is_contradicted
+               ? unrecorded_version{}
+               : unrecorded_version{.version = named, .source = "list"};
 }
 
 asio::awaitable<std::shared_ptr<const stream_origin_sync::pending_read>>
--- a/src/gateway/stream_origin_sync.hpp
+++ b/src/gateway/stream_origin_sync.hpp
@@ -74,8 +74,9 @@
         std::optional<snapshot> rows;
         /// Why there are no rows.
         std::string failure = "the records were not read in time";
-        /// What agents know of streams that the rows do not tell.
-        noted_streams noted;
+        /// What agents know of streams that the rows do not tell. Unset until
+        /// they were asked, which a lookup may not wait for.
+        std::optional<noted_streams> noted;
     };
 
     asio::awaitable<origin_lookup> look_up(
--- a/src/gateway/stream_origins.hpp
+++ b/src/gateway/stream_origins.hpp
@@ -58,7 +58,8 @@
     /// All origins that gateways noted within the time for which callers resume
     /// a stream.
     std::set<stream_origin::origin> recent;
-    /// Whether an agent had no room for all that it knows.
+    /// Whether an agent may know more: one that runs did not answer, or had no
+    /// room for all, or it was not asked about each stream.
     bool is_partial = false;
 };
 
