--- a/src/gateway/stream_origin_sync.cpp
+++ b/src/gateway/stream_origin_sync.cpp
@@ -47,18 +47,6 @@
     return std::to_string(number);
 }
 
-/// Returns whether all streams without a record that a caller may still resume
-/// began at the version that the regime names.
-bool is_certain(
-    const version_regime& regime, stream_origin::store_time store_now)
-{
-    const auto* const single =
-        std::get_if<stream_origin::single_version>(&regime);
-    return single != nullptr &&
-           (single->since == stream_origin::store_time::zero() ||
-            store_now - single->since >= stream_origin::max_stream_age);
-}
-
 } // namespace
 
 stream_origin_sync::stream_origin_sync(
@@ -209,7 +197,8 @@
         {
             const auto regime = rows.regimes.find(service);
             return regime != rows.regimes.end() &&
-                   is_certain(regime->second, rows.store_now);
+                   stream_origin::certain_version(
+                       regime->second, rows.store_now);
         });
 }
 
@@ -223,11 +212,10 @@
     {
         return {};
     }
-    if (is_certain(regime->second, read.rows->store_now))
+    if (const auto certain = stream_origin::certain_version(
+            regime->second, read.rows->store_now))
     {
-        return {
-            .version = stream_origin::named_version(regime->second),
-            .source = "regime"};
+        return {.version = certain, .source = "regime"};
     }
     const auto named = stream_origin::named_version(regime->second);
     if (!named || tracker == state_.streams.regimes.end())
--- a/src/gateway/stream_origin_sync.hpp
+++ b/src/gateway/stream_origin_sync.hpp
@@ -74,8 +74,8 @@
         std::optional<snapshot> rows;
         /// Why there are no rows.
         std::string failure = "the records were not read in time";
-        /// What agents know of streams that the rows do not tell. Unset until
-        /// they were asked, which a lookup may not wait for.
+        /// What agents know of streams without a known origin in the rows.
+        /// Unset until they were asked; a lookup may time out before.
         std::optional<noted_streams> noted;
     };
 
@@ -90,7 +90,7 @@
         const pending_read& read,
         const stream_origin::stream_target& target) const;
     /// Returns whether the regimes of all services that may have begun a stream
-    /// without a record tell its version.
+    /// without a record determine its version.
     [[nodiscard]] bool covers_unrecorded(
         const snapshot& rows, const stream_origin::stream_target& target) const;
     /// The version at which the streams without a record of a service began.
@@ -110,7 +110,7 @@
     asio::awaitable<std::shared_ptr<const pending_read>> wait_for_read(
         const request_id& stream, const stream_origin::stream_target& target);
     asio::awaitable<void> run_reads();
-    /// Asks the agents about the streams that the rows do not tell.
+    /// Asks the agents about the streams whose origin the rows do not contain.
     asio::awaitable<void> ask_agents(pending_read& read);
     asio::awaitable<result<snapshot>> read_snapshot();
     /// Reads the regimes of all services and applies them.
--- a/src/stream_origin/test/regime_fleet_test.cpp
+++ b/src/stream_origin/test/regime_fleet_test.cpp
@@ -298,20 +298,6 @@
     store_era era_;
 };
 
-/// Returns the version at which all streams without a record began, if a reader
-/// may rely on the row alone.
-std::optional<software_version> certain_version(
-    const regime_store& store, std::uint64_t step)
-{
-    const auto regime = store.read(step);
-    const auto* const single = std::get_if<single_version>(&regime);
-    const bool is_certain =
-        single != nullptr &&
-        (single->since == store_time::zero() ||
-         store_time_of(step) - single->since >= max_stream_age);
-    return is_certain ? std::optional(single->version) : std::nullopt;
-}
-
 const std::vector<std::set<software_version>> lists{
     {software_version{"1"}},
     {software_version{"2"}},
@@ -445,7 +431,8 @@
                 {
                     streams.pop_front();
                 }
-                const auto certain = certain_version(store, step);
+                const auto certain =
+                    certain_version(store.read(step), store_time_of(step));
                 if (!certain)
                 {
                     continue;
--- a/src/stream_origin/version_regime.cpp
+++ b/src/stream_origin/version_regime.cpp
@@ -117,6 +117,16 @@
     return std::nullopt;
 }
 
+std::optional<serving::software_version> certain_version(
+    const version_regime& regime, store_time store_now)
+{
+    const auto* const single = std::get_if<single_version>(&regime);
+    const bool is_certain =
+        single != nullptr && (single->since == store_time::zero() ||
+                              store_now - single->since >= max_stream_age);
+    return is_certain ? std::optional(single->version) : std::nullopt;
+}
+
 regime_tracker::regime_tracker(const regime_tracker_options& options)
     : options_(options)
 {
--- a/src/stream_origin/version_regime.hpp
+++ b/src/stream_origin/version_regime.hpp
@@ -87,7 +87,7 @@
 /// @errors malformed_message: contains the value
 [[nodiscard]] result<regime_record> decode_regime(std::string_view value);
 
-/// Returns what a record tells in an era of the store.
+/// Returns the regime that a record states in an era of the store.
 [[nodiscard]] version_regime regime_in_era(
     const regime_record& record, store_era current, mono_time read_at);
 
@@ -95,6 +95,12 @@
 [[nodiscard]] std::optional<serving::software_version> named_version(
     const version_regime& regime);
 
+/// Returns the version at which all streams without a record began that a
+/// caller may still resume, if the regime alone is evidence of it.
+/// @param store_now time of the store's clock
+[[nodiscard]] std::optional<serving::software_version> certain_version(
+    const version_regime& regime, store_time store_now);
+
 struct regime_tracker_options
 {
     /// Time for which only one version must be listed before the regime becomes
